--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,76 @@
+// The command line of zinclead.
+
+#include <malloc.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "config/operator_settings.h"
+#include "config/settings.h"
+#include "service/node.h"
+
+namespace {
+
+void SetUpLogging() {
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("zinclead"));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  const char* wanted = std::getenv("LOG_LEVEL");
+  const std::string level = wanted == nullptr ? "info" : wanted;
+  spdlog::set_level(spdlog::level::info);
+  if (level == "error") {
+    spdlog::set_level(spdlog::level::err);
+  } else if (level == "debug") {
+    spdlog::set_level(spdlog::level::debug);
+  } else if (level != "info") {
+    spdlog::warn("LOG_LEVEL {} is not error, info or debug; using info", level);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"zinclead: a cluster scheduler"};
+  app.set_version_flag("--version", std::string("zinclead ") + ZINCLEAD_VERSION);
+  std::string config_path;
+  std::string operator_path;
+  bool check = false;
+  app.add_option("--config", config_path, "the platform's settings file (TOML)")->required();
+  app.add_option("--operator-config", operator_path, "the operators' own settings (XML)");
+  app.add_flag("--check", check, "check the settings and end");
+  CLI11_PARSE(app, argc, argv);
+
+  zinclead::config::Settings settings;
+  zinclead::config::OperatorSettings tuning;
+  std::string error;
+  if (!zinclead::config::LoadSettings(config_path, &settings, &error)) {
+    std::cerr << "zinclead: " << config_path << ": " << error << "\n";
+    return 2;
+  }
+  if (!operator_path.empty() &&
+      !zinclead::config::LoadOperatorSettings(operator_path, &tuning, &error)) {
+    std::cerr << "zinclead: " << operator_path << ": " << error << "\n";
+    return 2;
+  }
+  if (check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  // The process lives within tens of megabytes: one arena, and freed memory goes back.
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
+  SetUpLogging();
+  try {
+    zinclead::service::Node node(settings, tuning);
+    spdlog::info("node {} in zone {} listens on {}", settings.node, settings.zone,
+                 settings.listen.ToString());
+    node.Run();
+  } catch (const std::exception& e) {
+    std::cerr << "zinclead: " << e.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/core/cluster.h
@@ -0,0 +1,345 @@
+// The leader's view of jobs, tasks and machines, and every decision about them. Pure: no I/O, no
+// clock and no randomness of its own. It is built from the records of the state service when a term
+// begins and thrown away when the term ends.
+//
+// What must be durable is kept as records. A change marks its record dirty; the service renders
+// dirty records into transactions and says when they are stored. Nothing is told to a user before.
+#ifndef ZINCLEAD_CORE_CLUSTER_H_
+#define ZINCLEAD_CORE_CLUSTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "config/operator_settings.h"
+#include "config/settings.h"
+#include "core/token_bucket.h"
+#include "wire/wire.h"
+
+namespace zinclead::core {
+
+// Keys in the state service.
+inline constexpr std::string_view kRootPrefix = "zinclead/";
+inline constexpr std::string_view kJobPrefix = "zinclead/job/";
+inline constexpr std::string_view kDonePrefix = "zinclead/tasks/";
+inline constexpr std::string_view kMachinePrefix = "zinclead/machines/";
+inline constexpr std::string_view kTypePrefix = "zinclead/type/";
+
+// Attempt numbers hold the term in which they were given out, so that none is ever used twice.
+constexpr uint64_t MakeAttempt(uint64_t term, uint32_t counter) { return (term << 32U) | counter; }
+constexpr uint64_t TermOfAttempt(uint64_t attempt) { return attempt >> 32U; }
+
+struct Resources {
+  double cpus = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+  Resources& operator+=(const Resources& o) {
+    cpus += o.cpus;
+    gpus += o.gpus;
+    memory_gb += o.memory_gb;
+    return *this;
+  }
+  Resources& operator-=(const Resources& o) {
+    cpus -= o.cpus;
+    gpus -= o.gpus;
+    memory_gb -= o.memory_gb;
+    return *this;
+  }
+  // Sums of decimal amounts are compared with a slack far below any amount in use.
+  bool Fits(const Resources& room) const {
+    constexpr double kSlack = 1e-6;
+    return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
+           memory_gb <= room.memory_gb + kSlack;
+  }
+};
+
+struct Machine;
+struct Job;
+
+enum class AttemptPhase : uint8_t { kPlaced, kFetching, kRunning, kSaving, kEnded };
+
+// One attempt to run a task on one machine, from the decision until the machine no longer knows it.
+struct Attempt {
+  Job* job = nullptr;
+  Machine* machine = nullptr;
+  uint32_t index = 0;
+  uint64_t number = 0;
+  AttemptPhase phase = AttemptPhase::kPlaced;
+  wire::EndCause cause = wire::EndCause::kNone;
+  bool start_sent = false;  // a start was put in some answer
+  bool listed = false;      // some report has listed it
+  bool stop = false;        // a stop is wanted
+  double grace_s = 0;
+  bool holds_room = false;  // counted against machine, team and zone
+  double since = 0;      // when it was placed or first seen
+  double running_since = 0;
+  double stop_since = 0;
+};
+
+// kDoneUnstored: completed, but a new leader would not know it from the store yet.
+enum class TaskState : uint8_t { kPending, kActive, kDoneUnstored, kDone };
+enum class FinalState : uint8_t { kNone, kDone, kCancelled };
+
+struct Job {
+  wire::JobSpec spec;
+  Resources need;
+  int64_t accepted_ms = 0;  // time of day, for the record
+  double accepted_at = 0;   // the same on this node's steady clock
+  bool stored = false;      // accepted durably
+  bool inherited = false;   // accepted in an earlier term
+  bool cancel_wanted = false;
+  FinalState final_state = FinalState::kNone;  // durable
+  uint32_t done_chunk = 0;                     // tasks a chunk of the done set covers
+  std::vector<TaskState> tasks;
+  uint32_t pending = 0;
+  uint32_t done = 0;         // in memory
+  uint32_t done_stored = 0;  // durable
+  uint32_t first_pending = 0;
+  std::unordered_map<uint32_t, Attempt*> active;  // the attempt that counts for each active task
+  std::map<std::string, int> zone_counts;         // tasks that may be on a machine, by zone
+  uint32_t running = 0;
+  uint32_t attempts = 0;  // known on any machine, ended ones included
+  std::set<std::string> failed_on;  // machines on which a task ended with an error
+  int failures = 0;
+  double not_before = 0;
+  double retry_at = 0;
+
+  bool Live() const { return final_state == FinalState::kNone && !cancel_wanted; }
+  bool AllDone() const { return done == spec.tasks; }
+};
+
+enum class MachineStage : uint8_t { kBooting, kUp };
+
+struct Machine {
+  std::string id;
+  std::string type_name;
+  std::string zone;
+  bool spot = false;
+  std::string record;  // key of the record that names it
+  const wire::MachineType* type = nullptr;
+  MachineStage stage = MachineStage::kBooting;
+  bool may_hold_tasks = false;  // durable: from now on a task may be on it
+  bool mark_wanted = false;     // may_hold_tasks is on its way to the store
+  bool from_list = false;       // known only from the machine list
+  bool acknowledged = false;    // has seen our term
+  bool session_gone = false;    // its last session has provably ended
+  uint64_t session = 0;
+  uint64_t seq = 0;
+  double last_heard = 0;
+  double rented_at = 0;
+  double ready_at = 0;
+  std::optional<double> notice_at;  // when the cloud takes it away
+  bool retiring = false;            // no placements any more
+  bool deleting = false;            // deletion asked for
+  bool delete_sent = false;         // a request is under way
+  double delete_retry_at = 0;
+  double idle_since = 0;
+  double no_room_until = 0;
+  std::set<std::string> failed_jobs;
+  Resources capacity;
+  Resources used;
+  std::map<std::pair<std::string, uint64_t>, std::unique_ptr<Attempt>> attempts;
+  std::set<std::string> images;
+};
+
+// One rent request and the machines it brought (or one adopted machine).
+struct RentRecord {
+  std::string name;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  int count = 0;
+  bool answered = false;
+  bool adopted = false;
+  bool stored = false;  // named durably: the request may be sent
+  bool sending = false;
+  double retry_at = 0;
+  double asked_at = 0;
+  std::map<std::string, bool> machines;  // name -> may hold tasks
+};
+
+// What the service must do for the core.
+struct Effects {
+  std::vector<wire::RentRequest> rent;
+  std::vector<std::string> remove;  // machines to delete
+  bool empty() const { return rent.empty() && remove.empty(); }
+};
+
+enum class SubmitOutcome { kKnown, kAccepted, kPendingStore, kUnprocessable, kBusy, kUndecided };
+enum class CancelOutcome { kCancelled, kDone, kPendingStore, kUnknown, kUndecided };
+
+class Cluster {
+ public:
+  Cluster(const config::Settings& settings, const config::OperatorSettings& tuning, uint64_t term,
+          double now, double wall_now, uint64_t random_seed);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  // ---- loading a term's records; every record, then FinishLoading ----
+  // Returns false for a record that can't be understood.
+  bool LoadRecord(const std::string& key, const wire::Json& value);
+  void FinishLoading(double now);
+
+  // ---- users ----
+  SubmitOutcome Submit(const wire::JobSpec& spec, double now, double wall_now, std::string* error);
+  CancelOutcome Cancel(const std::string& id, double now);
+  struct JobView {
+    wire::JobPhase phase = wire::JobPhase::kPending;
+    uint32_t done = 0;
+    uint32_t running = 0;
+    bool stored = false;
+    bool final = false;
+  };
+  std::optional<JobView> View(const std::string& id) const;
+
+  // ---- workers ----
+  struct HelloResult {
+    bool refuse = false;  // answer 503: this report must not renew anything
+    std::vector<wire::Command> commands;
+  };
+  // The caller must be entitled to answer workers (see election::Elector).
+  HelloResult OnReport(const wire::Report& report, double now);
+
+  // ---- cloud ----
+  void OnMachineTypes(const std::vector<wire::MachineType>& types);
+  bool HasMachineTypes() const { return !types_.empty(); }
+  enum class RentOutcome { kRented, kNoCapacity, kUnknown };
+  void OnRented(const std::string& name, RentOutcome outcome,
+                const std::vector<std::string>& machines, double now);
+  void OnDeleted(const std::vector<std::string>& machines, bool gone, double now);
+  void OnMachineList(const std::vector<wire::ListedMachine>& machines, double now);
+
+  // ---- decisions; run after changes and at the times NextWake names ----
+  Effects Schedule(double now);
+  double NextWake() const { return next_wake_; }
+  bool NeedsSchedule() const { return dirty_; }
+
+  // ---- records ----
+  struct DirtyRecord {
+    std::string key;
+    Importance importance;
+  };
+  bool HasDirty() const;
+  // The importance of the first dirty record.
+  Importance DirtyImportance() const;
+  // Takes up to `max` dirty records, the most important first.
+  std::vector<std::string> TakeDirty(size_t max);
+  // What the record should hold now; nullopt: the key should not exist. What it covers is
+  // remembered until OnStored or OnStoreFailed.
+  std::optional<wire::Json> Render(const std::string& key);
+  void OnStored(const std::string& key, double now);
+  // Puts a record back that could not be stored.
+  void OnNotStored(const std::string& key);
+
+  // Jobs whose accepted, done or cancelled state became durable since the last call.
+  std::vector<std::string> TakeSettledJobs();
+
+  uint64_t term() const { return term_; }
+  bool settled() const { return settled_; }
+  size_t ActiveJobs() const { return active_jobs_.size(); }
+  const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+  const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
+  size_t PendingTasks() const;
+  // How long after the start of a term a silent machine's session may still be kept alive by an
+  // earlier leader that has lost the state service (see KeepAliveLimit).
+  static double KeepAliveLimit(const config::Settings& settings);
+
+ private:
+  friend class SchedulePass;
+
+  // hello.cc
+  void OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
+                    std::vector<wire::Command>* extra);
+  void OnEnded(Attempt* a, wire::EndCause cause, double now);
+  void OnTaskError(Machine* m, Job* job, double now);
+  bool MayForget(const Attempt& a) const;
+  void Retire(Machine* m, double now);
+  Machine* AdoptMachine(const std::string& id, const std::string& type, const std::string& zone,
+                        bool spot, double now);
+
+  // Bookkeeping of attempts.
+  Attempt* AddAttempt(Machine* m, Job* job, uint32_t index, uint64_t number, double now);
+  void ReleaseRoom(Attempt* a);
+  void RemoveAttempt(Attempt* a, double now);
+  void DropAllAttempts(Machine* m, double now);
+  void TaskBackToPending(Job* job, uint32_t index, Attempt* from);
+  void StopAttempt(Attempt* a, double grace_s, double now);
+  void MarkDone(Job* job, uint32_t index);
+  void StopJob(Job* job, double now);
+  void FinishJobIfOver(Job* job);
+
+  Machine* AddMachine(const std::string& id, RentRecord* record, double now);
+  void RemoveMachine(const std::string& id, double now);
+  RentRecord* RecordOf(const Machine& m);
+  void CheckSettled(double now);
+  bool MachineUsable(const Machine& m) const;
+
+  void MarkDirty(const std::string& key, Importance importance);
+  std::string JobKey(const std::string& id) const { return std::string(kJobPrefix) + id; }
+  std::string DoneKey(const std::string& id, uint32_t chunk) const;
+  wire::Json RenderJob(const std::string& key, Job* job);
+  wire::Json RenderRent(const std::string& key, const RentRecord& rent);
+  Job* FindJob(const std::string& id) const;
+  std::unique_ptr<Job> NewJob(const wire::JobSpec& spec, int64_t accepted_ms, double accepted_at);
+  bool FitsType(const wire::JobSpec& spec, const wire::MachineType& type) const;
+  bool LoadJob(const std::string& id, const wire::Json& value);
+  bool LoadRent(const std::string& name, const wire::Json& value);
+  void ApplyDone(Job* job, uint32_t first, const std::string& text);
+
+  // scheduler.cc
+  void CheckMachines(double now, Effects* effects);
+  void PlaceAndRent(double now);
+  void SendRents(double now, Effects* effects);
+
+  const config::Settings settings_;
+  const config::OperatorSettings tuning_;
+  const uint64_t term_;
+  const double started_at_;
+  const double wall_offset_;  // wall clock minus steady clock
+  std::mt19937_64 random_;
+  uint32_t next_attempt_ = 1;
+  uint32_t next_rent_ = 1;
+
+  // Jobs that are over and have nothing left on any machine; kept for good.
+  struct FinishedJob {
+    FinalState state;
+    uint32_t tasks;
+  };
+  std::unordered_map<std::string, FinishedJob> finished_;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+  // Jobs that are neither done nor cancelled durably, or that may still have tasks on machines,
+  // in the order of their acceptance.
+  std::map<std::pair<int64_t, std::string>, Job*> active_jobs_;
+  std::map<std::string, std::unique_ptr<Machine>> machines_;
+  std::unordered_map<std::string, std::unique_ptr<RentRecord>> rents_;
+  std::unordered_set<std::string> deleted_;  // machines whose deletion was answered
+  std::map<std::string, wire::MachineType> types_;
+  std::map<std::string, Resources> team_usage_;
+  std::map<std::string, double> refused_until_;  // by type, zone and kind
+  TokenBucket rent_tokens_;
+
+  std::map<std::string, Importance> dirty_records_;
+  std::map<std::string, std::vector<uint32_t>> rendered_done_;  // done tasks a render covers
+  std::map<std::string, FinalState> rendered_final_;
+  std::map<std::string, std::vector<std::string>> rendered_marks_;
+  // Done chunks that were read before their job.
+  std::map<std::string, std::map<uint32_t, std::string>> loaded_done_;
+  std::vector<std::string> settled_jobs_;
+  bool settled_ = false;
+  bool dirty_ = true;
+  double next_wake_ = 0;
+};
+
+}  // namespace zinclead::core
+
+#endif  // ZINCLEAD_CORE_CLUSTER_H_
--- /dev/null
+++ b/src/core/hello.cc
@@ -0,0 +1,238 @@
+// Workers' reports: what is where, and the commands that go back.
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "core/cluster.h"
+
+namespace zinclead::core {
+namespace {
+
+// A job whose tasks failed on this many machines is at fault itself; until then the machines are.
+constexpr size_t kJobAtFault = 3;
+// A machine on which the tasks of this many jobs failed is faulty.
+constexpr size_t kMachineAtFault = 2;
+
+AttemptPhase PhaseOf(wire::TaskPhase phase) {
+  switch (phase) {
+    case wire::TaskPhase::kFetching:
+      return AttemptPhase::kFetching;
+    case wire::TaskPhase::kRunning:
+      return AttemptPhase::kRunning;
+    case wire::TaskPhase::kSaving:
+      return AttemptPhase::kSaving;
+    case wire::TaskPhase::kEnded:
+      return AttemptPhase::kEnded;
+  }
+  return AttemptPhase::kEnded;
+}
+
+bool OnMachine(AttemptPhase phase) {
+  return phase == AttemptPhase::kRunning || phase == AttemptPhase::kSaving;
+}
+
+wire::Command CommandFor(wire::CommandOp op, const Attempt& a, double grace_s = 0) {
+  return {op, {a.job->spec.id, a.index}, a.number, grace_s};
+}
+
+}  // namespace
+
+Cluster::HelloResult Cluster::OnReport(const wire::Report& report, double now) {
+  HelloResult result;
+  if (deleted_.contains(report.machine)) {
+    result.refuse = true;  // a late message of a machine that is gone
+    return result;
+  }
+  Machine* m = nullptr;
+  if (const auto it = machines_.find(report.machine); it != machines_.end()) {
+    m = it->second.get();
+  } else {
+    m = AdoptMachine(report.machine, report.type, report.zone, report.spot, now);
+  }
+  if (report.session < m->session || (report.session == m->session && report.seq <= m->seq)) {
+    // Late or repeated. Its worker no longer waits for an answer to it.
+    result.refuse = true;
+    return result;
+  }
+  if (report.session == m->session && m->session_gone) {
+    // Its session has provably ended and its tasks may run elsewhere: never renew it.
+    result.refuse = true;
+    return result;
+  }
+  if (report.session > m->session && m->session != 0) {
+    DropAllAttempts(m, now);  // the worker killed them all when its session ended
+    m->acknowledged = false;
+  }
+  m->session_gone = false;
+  m->session = report.session;
+  m->seq = report.seq;
+  m->last_heard = now;
+  m->from_list = false;
+  if (m->stage == MachineStage::kBooting) {
+    m->stage = MachineStage::kUp;
+    m->idle_since = now;
+    dirty_ = true;
+  }
+  if (!m->may_hold_tasks && !m->mark_wanted && !m->deleting) {
+    // The record must say that tasks may be here before the first one is sent.
+    m->mark_wanted = true;
+    MarkDirty(std::string(kMachinePrefix) + m->record, Importance::kUser);
+  }
+  if (report.notice_s) {
+    m->notice_at = now + *report.notice_s;
+    if (!m->retiring) {
+      m->retiring = true;
+      dirty_ = true;
+    }
+  }
+
+  // What earlier terms started here is taken over until the worker has seen this term: from then on
+  // only this leader starts anything here.
+  const bool may_adopt = !m->acknowledged;
+  std::set<std::pair<std::string, uint64_t>> listed;
+  for (const wire::ReportedTask& task : report.tasks) {
+    listed.emplace(wire::TaskName(task.task.job, task.task.index), task.attempt);
+    OnListedTask(m, task, now, may_adopt, &result.commands);
+  }
+  std::vector<Attempt*> vanished;
+  for (auto& [key, a] : m->attempts) {
+    if (listed.contains(key)) continue;
+    // Listed before: forgotten by command, or lost. Never listed: if a start was in an answer to an
+    // earlier report, the worker dropped that answer for good, so a stop is complete at once.
+    if (a->listed || a->stop) vanished.push_back(a.get());
+  }
+  for (Attempt* a : vanished) RemoveAttempt(a, now);
+
+  if (report.token >= term_ && !m->acknowledged) {
+    m->acknowledged = true;
+    dirty_ = true;
+    CheckSettled(now);
+  }
+
+  // Freed room is filled in this very answer rather than in the next one.
+  if (dirty_ && MachineUsable(*m)) PlaceAndRent(now);
+
+  for (auto& [key, a] : m->attempts) {
+    if (a->phase == AttemptPhase::kEnded) {
+      if (MayForget(*a)) result.commands.push_back(CommandFor(wire::CommandOp::kForget, *a));
+    } else if (a->stop) {
+      if (a->phase != AttemptPhase::kSaving || a->grace_s == 0) {
+        result.commands.push_back(CommandFor(wire::CommandOp::kStop, *a, a->grace_s));
+      }
+    } else if (a->phase == AttemptPhase::kPlaced) {
+      a->start_sent = true;
+      result.commands.push_back(CommandFor(wire::CommandOp::kStart, *a));
+    }
+  }
+  return result;
+}
+
+void Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now,
+                           bool may_adopt, std::vector<wire::Command>* extra) {
+  Job* job = FindJob(listed.task.job);
+  const bool ended = listed.phase == wire::TaskPhase::kEnded;
+  if (job == nullptr || listed.task.index >= job->spec.tasks) {
+    // Over, or never accepted: accepted jobs are stored before anything of them starts.
+    extra->push_back({ended ? wire::CommandOp::kForget : wire::CommandOp::kStop, listed.task,
+                      listed.attempt, 0});
+    return;
+  }
+  const auto key = std::make_pair(wire::TaskName(job->spec.id, listed.task.index), listed.attempt);
+  const auto it = m->attempts.find(key);
+  Attempt* a = nullptr;
+  if (it != m->attempts.end()) {
+    a = it->second.get();
+  } else {
+    a = AddAttempt(m, job, listed.task.index, listed.attempt, now);
+    if (!ended && may_adopt && job->Live() && job->tasks[a->index] == TaskState::kPending) {
+      job->tasks[a->index] = TaskState::kActive;
+      --job->pending;
+      job->active[a->index] = a;
+    } else if (!ended) {
+      StopAttempt(a, 0, now);  // a stray: the task is over, or its place is elsewhere
+    }
+  }
+  a->listed = true;
+  if (a->phase == AttemptPhase::kEnded) return;
+  const AttemptPhase phase = PhaseOf(listed.phase);
+  if (phase == AttemptPhase::kEnded) {
+    OnEnded(a, listed.cause, now);
+    return;
+  }
+  if (OnMachine(phase) != OnMachine(a->phase)) {
+    if (OnMachine(phase)) {
+      ++job->running;
+      a->running_since = now;
+    } else {
+      --job->running;
+    }
+  }
+  if (OnMachine(phase)) m->images.insert(job->spec.image);
+  a->phase = phase;
+  if (!job->Live() && job->final_state != FinalState::kNone) StopAttempt(a, 0, now);
+}
+
+void Cluster::OnEnded(Attempt* a, wire::EndCause cause, double now) {
+  Job* job = a->job;
+  Machine* m = a->machine;
+  ReleaseRoom(a);
+  a->phase = AttemptPhase::kEnded;
+  a->cause = cause;
+  if (m->attempts.size() == 1) m->idle_since = now;
+  if (cause == wire::EndCause::kDone) {
+    m->failed_jobs.clear();
+    if (job->Live()) {
+      const auto it = job->active.find(a->index);
+      if (it != job->active.end() && it->second != a) StopAttempt(it->second, 0, now);
+      MarkDone(job, a->index);
+      job->active.erase(a->index);
+    }
+    return;
+  }
+  TaskBackToPending(job, a->index, a);
+  switch (cause) {
+    case wire::EndCause::kError:
+      OnTaskError(m, job, now);
+      break;
+    case wire::EndCause::kNoRoom:
+    case wire::EndCause::kInUse:
+      // Something is on the machine that we do not count; its next reports will tell.
+      m->no_room_until = now + settings_.report_s;
+      break;
+    case wire::EndCause::kNoSuch:
+      job->not_before = now + tuning_.retry_s;
+      break;
+    default:
+      break;
+  }
+}
+
+void Cluster::OnTaskError(Machine* m, Job* job, double now) {
+  ++job->failures;
+  job->failed_on.insert(m->id);
+  m->failed_jobs.insert(job->spec.id);
+  if (job->failed_on.size() >= kJobAtFault) {
+    // A mistake in the job: it fails everywhere. It backs off, and no machine is blamed for it.
+    const int doublings = std::min<int>(static_cast<int>(job->failed_on.size() - kJobAtFault), 5);
+    job->not_before = now + tuning_.retry_s * std::pow(2.0, doublings);
+    for (auto& [id, machine] : machines_) machine->failed_jobs.erase(job->spec.id);
+    return;
+  }
+  if (m->failed_jobs.size() >= kMachineAtFault) Retire(m, now);
+}
+
+void Cluster::Retire(Machine* m, double now) {
+  m->retiring = true;
+  for (auto& [key, a] : m->attempts) StopAttempt(a.get(), a->job->spec.save_s, now);
+  dirty_ = true;
+}
+
+// A completed task is forgotten only when its completion is durable: until then the worker's list
+// is what a new leader learns it from.
+bool Cluster::MayForget(const Attempt& a) const {
+  if (a.cause != wire::EndCause::kDone) return true;
+  return a.job->final_state != FinalState::kNone || a.job->tasks[a.index] == TaskState::kDone;
+}
+
+}  // namespace zinclead::core
--- /dev/null
+++ b/src/core/scheduler.cc
@@ -0,0 +1,475 @@
+// Placement, renting, preemption and the machines' life.
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "core/cluster.h"
+
+namespace zinclead::core {
+namespace {
+
+// PROTOCOL: steady clocks may drift apart by 0.05%.
+constexpr double kDrift = 0.0005;
+
+}  // namespace
+
+// One pass over the pending jobs: existing machines first, then room that is on its way, then rents.
+class SchedulePass {
+ public:
+  SchedulePass(Cluster* cluster, double now) : c_(*cluster), now_(now) {}
+
+  void Run() {
+    for (Job* job : Order()) PlaceJob(job);
+  }
+
+ private:
+  // Room that is on its way: a booting machine, an unanswered rent request, or what stops on a
+  // machine leave behind.
+  struct Upcoming {
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    Resources free;
+  };
+
+  std::vector<Job*> Order() {
+    std::vector<Job*> jobs;
+    for (auto& [key, job] : c_.active_jobs_) {
+      if (job->pending == 0 || !job->Live() || !job->stored || job->not_before > now_) continue;
+      // Tasks of inherited jobs may run on machines that have not been heard of yet.
+      if (!c_.settled_ && (job->inherited || Capped(*job))) continue;
+      jobs.push_back(job);
+    }
+    // Oldest first within a priority. A job past its dispatch deadline has used up its place.
+    std::stable_sort(jobs.begin(), jobs.end(), [&](const Job* a, const Job* b) {
+      const bool late_a = now_ - a->accepted_at > c_.tuning_.deadline_s;
+      const bool late_b = now_ - b->accepted_at > c_.tuning_.deadline_s;
+      if (a->spec.priority != b->spec.priority) return a->spec.priority < b->spec.priority;
+      return late_a < late_b;
+    });
+    return jobs;
+  }
+
+  const config::Team* TeamOf(const Job& job) const { return c_.settings_.FindTeam(job.spec.team); }
+
+  bool Capped(const Job& job) const {
+    const config::Team* team = TeamOf(job);
+    return team == nullptr || team->cpus_max > 0 || team->gpus_max > 0;
+  }
+
+  // The team's limit counts everything of the team that may be on a machine.
+  bool WithinLimit(const Job& job) const {
+    const config::Team* team = TeamOf(job);
+    if (team == nullptr) return false;
+    constexpr double kSlack = 1e-6;
+    const Resources& used = c_.team_usage_[job.spec.team];
+    return (team->cpus_max <= 0 || used.cpus + job.need.cpus <= team->cpus_max + kSlack) &&
+           (team->gpus_max <= 0 || used.gpus + job.need.gpus <= team->gpus_max + kSlack);
+  }
+
+  bool TypeAllowed(const Job& job, const std::string& type) const {
+    return !job.spec.types || std::find(job.spec.types->begin(), job.spec.types->end(), type) !=
+                                  job.spec.types->end();
+  }
+
+  // `planned`: tasks that this pass means to put on room that is on its way, by zone.
+  bool ZoneAllowed(const Job& job, const std::string& zone,
+                   const std::map<std::string, int>& planned) const {
+    if (job.spec.zone && *job.spec.zone != zone) return false;
+    if (job.spec.one_zone) {
+      if (one_zone_) {
+        if (*one_zone_ != zone) return false;
+      } else {
+        for (const auto& [other, count] : job.zone_counts) {
+          if (other != zone) return false;
+        }
+        for (const auto& [other, count] : planned) {
+          if (other != zone) return false;
+        }
+      }
+    }
+    if (job.spec.spread) {
+      const int most = static_cast<int>((job.spec.tasks + 1) / 2);
+      int here = 0;
+      if (const auto it = job.zone_counts.find(zone); it != job.zone_counts.end()) {
+        here += it->second;
+      }
+      if (const auto it = planned.find(zone); it != planned.end()) here += it->second;
+      if (here + 1 > most) return false;
+    }
+    return true;
+  }
+
+  bool MachineAllowed(const Job& job, const Machine& m) const {
+    if (!c_.MachineUsable(m) || m.no_room_until > now_) return false;
+    if (m.spot && !job.spec.spot) return false;
+    if (!TypeAllowed(job, m.type_name)) return false;
+    return !job.failed_on.contains(m.id) || job.failed_on.size() >= 3;
+  }
+
+  static Resources FreeOf(const Machine& m) {
+    Resources free = m.capacity;
+    free -= m.used;
+    return free;
+  }
+
+  static uint32_t FitCount(const Resources& need, Resources room, uint32_t most) {
+    uint32_t count = 0;
+    while (count < most && need.Fits(room)) {
+      room -= need;
+      ++count;
+    }
+    return count;
+  }
+
+  void PlaceJob(Job* job) {
+    one_zone_.reset();
+    if (job->spec.one_zone && job->zone_counts.empty()) ChooseZone(*job);
+    const std::map<std::string, int> none;
+    for (auto& [id, m] : c_.machines_) {
+      if (job->pending == 0) return;
+      if (!MachineAllowed(*job, *m)) continue;
+      while (job->pending > 0 && job->need.Fits(FreeOf(*m)) &&
+             ZoneAllowed(*job, m->zone, none) && WithinLimit(*job)) {
+        Place(job, m.get());
+      }
+    }
+    if (job->pending == 0 || !WithinLimit(*job)) return;
+    uint32_t left = job->pending;
+    std::map<std::string, int> planned;
+    if (job->spec.priority <= wire::Priority::kHigh) left = Preempt(job, left, &planned);
+    left = UseUpcoming(*job, left, &planned);
+    if (left > 0) Rent(*job, left, &planned);
+  }
+
+  void Place(Job* job, Machine* m) {
+    uint32_t index = job->first_pending;
+    while (job->tasks[index] != TaskState::kPending) ++index;
+    job->first_pending = index + 1;
+    Attempt* a = c_.AddAttempt(m, job, index, MakeAttempt(c_.term_, c_.next_attempt_++), now_);
+    job->tasks[index] = TaskState::kActive;
+    --job->pending;
+    job->active[index] = a;
+  }
+
+  // All tasks of the job must be in one zone: the one with most room for it.
+  void ChooseZone(const Job& job) {
+    std::map<std::string, uint32_t> room;
+    for (const auto& [id, m] : c_.machines_) {
+      if (!MachineAllowed(job, *m)) continue;
+      room[m->zone] += FitCount(job.need, FreeOf(*m), job.pending);
+    }
+    uint32_t best = 0;
+    for (const auto& [zone, count] : room) {
+      if (count > best && (!job.spec.zone || *job.spec.zone == zone)) {
+        best = count;
+        one_zone_ = zone;
+      }
+    }
+  }
+
+  // Stops lesser work to make room. Returns how many tasks still have no room coming.
+  uint32_t Preempt(Job* job, uint32_t left, std::map<std::string, int>* planned) {
+    for (auto& [id, m] : c_.machines_) {
+      if (left == 0) break;
+      if (!MachineAllowed(*job, *m) || !ZoneAllowed(*job, m->zone, *planned)) continue;
+      Resources coming = FreeOf(*m);
+      if (const auto it = claimed_.find(id); it != claimed_.end()) coming -= it->second;
+      std::vector<Attempt*> victims;
+      for (auto& [key, a] : m->attempts) {
+        if (!a->holds_room) continue;
+        if (a->stop) {
+          coming += a->job->need;
+        } else if (a->job->spec.priority > job->spec.priority &&
+                   a->job->spec.kind == wire::JobKind::kArray) {
+          victims.push_back(a.get());
+        }
+      }
+      // The least important first, and of those the one that has lost least.
+      std::sort(victims.begin(), victims.end(), [](const Attempt* a, const Attempt* b) {
+        if (a->job->spec.priority != b->job->spec.priority) {
+          return a->job->spec.priority > b->job->spec.priority;
+        }
+        return a->since > b->since;
+      });
+      size_t next = 0;
+      while (left > 0 && ZoneAllowed(*job, m->zone, *planned)) {
+        std::vector<Attempt*> chosen;
+        Resources room = coming;
+        size_t look = next;
+        while (!job->need.Fits(room) && look < victims.size()) {
+          room += victims[look]->job->need;
+          chosen.push_back(victims[look++]);
+        }
+        if (!job->need.Fits(room)) break;
+        for (Attempt* a : chosen) c_.StopAttempt(a, 0, now_);
+        next = look;
+        coming = room;
+        coming -= job->need;
+        claimed_[id] += job->need;
+        ++(*planned)[m->zone];
+        --left;
+      }
+    }
+    return left;
+  }
+
+  void FindUpcoming() {
+    upcoming_known_ = true;
+    for (const auto& [id, m] : c_.machines_) {
+      if (m->retiring || m->type == nullptr || m->from_list) continue;
+      const bool waiting = m->stage == MachineStage::kBooting || !m->may_hold_tasks ||
+                           !m->acknowledged || m->session_gone;
+      if (!waiting) continue;
+      if (m->stage == MachineStage::kBooting &&
+          now_ - m->rented_at > c_.tuning_.boot_late * m->type->boot_s) {
+        continue;
+      }
+      if (m->stage == MachineStage::kUp && now_ - m->last_heard > c_.settings_.lease_s / 2) {
+        continue;
+      }
+      Upcoming room{m->type_name, m->zone, m->spot, FreeOf(*m)};
+      upcoming_.push_back(std::move(room));
+    }
+    for (const auto& [name, rent] : c_.rents_) {
+      if (rent->answered) continue;
+      const auto type = c_.types_.find(rent->type);
+      if (type == c_.types_.end()) continue;
+      for (int i = 0; i < rent->count; ++i) AddUpcoming(type->second, rent->zone, rent->spot);
+    }
+  }
+
+  void AddUpcoming(const wire::MachineType& type, const std::string& zone, bool spot) {
+    upcoming_.push_back({type.name, zone, spot, {type.cpus, type.gpus, type.memory_gb}});
+  }
+
+  uint32_t UseUpcoming(const Job& job, uint32_t left, std::map<std::string, int>* planned) {
+    if (!upcoming_known_) FindUpcoming();
+    for (Upcoming& room : upcoming_) {
+      if (left == 0) break;
+      if ((room.spot && !job.spec.spot) || !TypeAllowed(job, room.type)) continue;
+      while (left > 0 && job.need.Fits(room.free) && ZoneAllowed(job, room.zone, *planned)) {
+        room.free -= job.need;
+        ++(*planned)[room.zone];
+        --left;
+      }
+    }
+    return left;
+  }
+
+  struct Offer {
+    const wire::MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+    uint32_t fit = 0;    // tasks on one machine
+    uint32_t tasks = 0;  // tasks it may take in this zone
+    double cost = 0;     // for one task
+    double ready_s = 0;  // boot and image
+  };
+
+  std::vector<Offer> Offers(const Job& job, uint32_t left,
+                            const std::map<std::string, int>& planned) const {
+    std::vector<Offer> offers;
+    for (const auto& [name, type] : c_.types_) {
+      if (!c_.FitsType(job.spec, type)) continue;
+      for (const std::string& zone : type.zones) {
+        if (!ZoneAllowed(job, zone, planned)) continue;
+        uint32_t tasks = left;
+        if (job.spec.spread) {
+          int here = 0;
+          if (const auto it = job.zone_counts.find(zone); it != job.zone_counts.end()) {
+            here += it->second;
+          }
+          if (const auto it = planned.find(zone); it != planned.end()) here += it->second;
+          tasks = std::min(tasks, static_cast<uint32_t>(
+                                      std::max(0, static_cast<int>((job.spec.tasks + 1) / 2) - here)));
+        }
+        if (tasks == 0) continue;
+        for (const bool spot : {true, false}) {
+          if (spot && !job.spec.spot) continue;
+          if (Refused(name, zone, spot)) continue;
+          Offer offer{&type, zone, spot};
+          offer.tasks = tasks;
+          offer.fit =
+              FitCount(job.need, {type.cpus, type.gpus, type.memory_gb}, std::min(tasks, 1000U));
+          offer.ready_s = type.boot_s + (type.fetch_gb_per_s > 0
+                                             ? job.spec.image_gb / type.fetch_gb_per_s
+                                             : 0);
+          // Services stay; their machines pay off over an idle machine's life at the least.
+          const double stay = job.spec.kind == wire::JobKind::kService
+                                  ? 10 * c_.tuning_.idle_s
+                                  : std::max(job.spec.estimate_s, c_.tuning_.idle_s / 2);
+          offer.cost = (spot ? type.spot_price : type.price) * (offer.ready_s + stay) /
+                       std::max(1U, offer.fit);
+          offers.push_back(std::move(offer));
+        }
+      }
+    }
+    return offers;
+  }
+
+  bool Refused(const std::string& type, const std::string& zone, bool spot) const {
+    const auto it =
+        c_.refused_until_.find(type + "|" + zone + (spot ? "|spot" : "|ordinary"));
+    return it != c_.refused_until_.end() && it->second > now_;
+  }
+
+  size_t MachinesIn(const std::string& zone) const {
+    size_t count = 0;
+    for (const auto& [id, m] : c_.machines_) count += m->zone == zone ? 1 : 0;
+    return count;
+  }
+
+  // The cheapest offer. Work that somebody waits for takes the quickest that costs little more.
+  const Offer* Choose(const Job& job, const std::vector<Offer>& offers) const {
+    double least = std::numeric_limits<double>::max();
+    for (const Offer& offer : offers) least = std::min(least, offer.cost);
+    const Offer* best = nullptr;
+    size_t best_zone = 0;
+    const bool hurry = job.spec.priority <= wire::Priority::kHigh || job.spec.deadline_s;
+    const double left_s =
+        job.spec.deadline_s ? job.accepted_at + *job.spec.deadline_s - now_ : 0;
+    for (const Offer& offer : offers) {
+      const size_t zone = MachinesIn(offer.zone);
+      const auto rank = [&](const Offer& o) {
+        if (!hurry) return 0.0;
+        // A spot or cheap machine that is in time for the deadline is as good as a quick one.
+        if (job.spec.deadline_s && o.ready_s + 1.3 * job.spec.estimate_s <= left_s) return 0.0;
+        return o.ready_s;
+      };
+      if (best == nullptr) {
+        best = &offer;
+        best_zone = zone;
+        continue;
+      }
+      const double a = rank(offer);
+      const double b = rank(*best);
+      constexpr double kWorthIt = 2.0;
+      bool better = false;
+      if (a != b) {
+        const bool dear_a = offer.cost > kWorthIt * least;
+        const bool dear_b = best->cost > kWorthIt * least;
+        better = dear_a != dear_b ? dear_b : a < b;
+      } else if (offer.cost != best->cost) {
+        better = offer.cost < best->cost;
+      } else {
+        better = zone < best_zone;
+      }
+      if (better) {
+        best = &offer;
+        best_zone = zone;
+      }
+    }
+    return best;
+  }
+
+  void Rent(const Job& job, uint32_t left, std::map<std::string, int>* planned) {
+    while (left > 0) {
+      const std::vector<Offer> offers = Offers(job, left, *planned);
+      const Offer* offer = Choose(job, offers);
+      if (offer == nullptr || offer->fit == 0) return;
+      if (!c_.rent_tokens_.Take(now_, 1, Importance::kNormal)) return;
+      const uint32_t tasks = std::min(left, offer->tasks);
+      const int count = static_cast<int>(
+          std::min<uint32_t>((tasks + offer->fit - 1) / offer->fit, wire::kMaxRentCount));
+      auto rent = std::make_unique<RentRecord>();
+      rent->name = "r" + std::to_string(c_.term_) + "-" + std::to_string(c_.next_rent_++);
+      rent->type = offer->type->name;
+      rent->zone = offer->zone;
+      rent->spot = offer->spot;
+      rent->count = count;
+      // Named durably before the request: whoever leads next can ask for its machines again.
+      c_.MarkDirty(std::string(kMachinePrefix) + rent->name,
+                   job.spec.priority <= wire::Priority::kHigh ? Importance::kUser
+                                                              : Importance::kNormal);
+      for (int i = 0; i < count; ++i) AddUpcoming(*offer->type, offer->zone, offer->spot);
+      c_.rents_[rent->name] = std::move(rent);
+      left = UseUpcoming(job, left, planned);
+    }
+  }
+
+  Cluster& c_;
+  const double now_;
+  std::optional<std::string> one_zone_;
+  std::map<std::string, Resources> claimed_;
+  std::vector<Upcoming> upcoming_;
+  bool upcoming_known_ = false;
+};
+
+void Cluster::PlaceAndRent(double now) {
+  dirty_ = false;
+  SchedulePass(this, now).Run();
+}
+
+void Cluster::SendRents(double now, Effects* effects) {
+  for (auto& [name, rent] : rents_) {
+    if (!rent->stored || rent->answered || rent->sending || rent->retry_at > now) continue;
+    rent->sending = true;
+    if (rent->asked_at == 0) rent->asked_at = now;
+    effects->rent.push_back({rent->name, rent->type, rent->zone, rent->spot, rent->count});
+  }
+}
+
+void Cluster::CheckMachines(double now, Effects* effects) {
+  const double lease = settings_.lease_s * (1 + 4 * kDrift) + settings_.report_s / 4;
+  for (auto& [id, m] : machines_) {
+    if (m->stage == MachineStage::kUp && !m->session_gone) {
+      // Until the worker has seen this term an earlier leader may have kept its lease alive, for
+      // KeepAliveLimit after that leader's own lease, which ended before this term began.
+      const double alive_until =
+          (m->acknowledged ? m->last_heard
+                           : std::max(m->last_heard, started_at_ + KeepAliveLimit(settings_))) +
+          lease;
+      if (now > alive_until) {
+        m->session_gone = true;
+        DropAllAttempts(m.get(), now);
+        m->retiring = true;
+        m->deleting = true;
+        dirty_ = true;
+      }
+    }
+    if (m->stage == MachineStage::kBooting && !m->deleting && m->type != nullptr &&
+        now - m->rented_at > tuning_.boot_give_up * m->type->boot_s) {
+      m->retiring = true;
+      m->deleting = true;
+    }
+    // Machines the list alone knows come up by themselves or are given up like the rest; without a
+    // type nothing can ever be placed on them.
+    if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && m->attempts.empty() &&
+        now - m->idle_since >= tuning_.idle_s) {
+      m->retiring = true;
+      m->deleting = true;
+    }
+    if (m->retiring && !m->deleting && m->attempts.empty() && m->acknowledged) m->deleting = true;
+    if (m->notice_at && !m->deleting) {
+      // Work that saves is told to while there is time for it; the rest runs on to the end.
+      for (auto& [key, a] : m->attempts) {
+        const double save_s = a->job->spec.save_s;
+        if (a->job->spec.checkpoint_s > 0 && !a->stop &&
+            *m->notice_at - now <= 2 * save_s + 2 * settings_.report_s) {
+          StopAttempt(a.get(), save_s, now);
+        }
+      }
+      // Its end by the cloud can't be seen; an answered deletion can.
+      if (now >= *m->notice_at) m->deleting = true;
+    }
+    if (m->deleting && !m->delete_sent && m->delete_retry_at <= now) {
+      m->delete_sent = true;
+      effects->remove.push_back(id);
+    }
+  }
+}
+
+Effects Cluster::Schedule(double now) {
+  Effects effects;
+  CheckMachines(now, &effects);
+  CheckSettled(now);
+  PlaceAndRent(now);
+  SendRents(now, &effects);
+  next_wake_ = now + settings_.report_s / 2;
+  return effects;
+}
+
+}  // namespace zinclead::core
--- /dev/null
+++ b/src/core/token_bucket.cc
@@ -0,0 +1,38 @@
+#include "core/token_bucket.h"
+
+#include <algorithm>
+
+namespace zinclead::core {
+
+TokenBucket::TokenBucket(double rate, double burst) : rate_(rate), burst_(burst), level_(burst) {}
+
+double TokenBucket::Level(double now) const {
+  return std::min(burst_, level_ + std::max(0.0, now - at_) * rate_);
+}
+
+double TokenBucket::Reserve(Importance importance) const {
+  // Of the burst, an eighth a step is kept for each greater importance.
+  return burst_ * static_cast<double>(importance) / 8;
+}
+
+bool TokenBucket::Take(double now, double amount, Importance importance) {
+  level_ = Level(now);
+  at_ = std::max(at_, now);
+  // An amount that could never fit is let through when the bucket is as full as it gets.
+  const double need = std::min(amount + Reserve(importance), burst_);
+  if (level_ + 1e-9 < need) return false;
+  level_ -= amount;
+  return true;
+}
+
+double TokenBucket::Wait(double now, double amount, Importance importance) const {
+  const double need = std::min(amount + Reserve(importance), burst_);
+  return std::max(0.0, (need - Level(now)) / rate_);
+}
+
+void TokenBucket::Drain(double now) {
+  level_ = std::min(0.0, Level(now));
+  at_ = std::max(at_, now);
+}
+
+}  // namespace zinclead::core
--- /dev/null
+++ b/src/election/elector.cc
@@ -0,0 +1,192 @@
+#include "election/elector.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace zinclead::election {
+namespace {
+
+// The lease is renewed this many times in its life.
+constexpr double kRenewals = 4;
+// By our clock the lease ends this share earlier, far more than the clocks' drift.
+constexpr double kSafety = 0.01;
+
+struct LeaderRecord {
+  std::string node;
+  uint64_t term = 0;
+  uint64_t lease = 0;
+};
+
+std::optional<LeaderRecord> ParseLeader(const wire::Json& json) {
+  if (!json.is_object()) return std::nullopt;
+  const auto node = json.find("node");
+  const auto term = json.find("term");
+  const auto lease = json.find("lease");
+  if (node == json.end() || !node->is_string() || term == json.end() ||
+      !term->is_number_unsigned() || lease == json.end() || !lease->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return LeaderRecord{node->get<std::string>(), term->get<uint64_t>(), lease->get<uint64_t>()};
+}
+
+}  // namespace
+
+Elector::Elector(net::EventLoop* loop, state::StoreClient* store, const config::Settings& settings,
+                 const config::OperatorSettings& tuning, Hooks hooks)
+    : loop_(loop),
+      store_(store),
+      node_(settings.node),
+      lease_s_(std::max(1.0, tuning.leader_lease_share * settings.cancel_s)),
+      hooks_(std::move(hooks)) {}
+
+void Elector::Start() { Look(); }
+
+void Elector::LookLater(double delay_s) {
+  loop_->StartTimer(&timer_, delay_s, [this] { Look(); });
+}
+
+void Elector::Look() {
+  if (leading_) return;
+  store_->Get(kLeaderKey, core::Importance::kLeadership,
+              [this](state::Outcome outcome, std::optional<wire::StoreItem> item, uint64_t revision) {
+                if (leading_) return;
+                (void)revision;
+                if (outcome == state::Outcome::kNotFound) return Campaign();
+                if (outcome != state::Outcome::kOk) return LookLater(lease_s_ / kRenewals / 2);
+                const auto record = ParseLeader(item->value);
+                if (!record) {
+                  spdlog::error("the leader key holds something else; waiting for it to go");
+                  return LookLater(lease_s_);
+                }
+                if (record->node == node_) {
+                  // Ours from before a restart, or from an election whose answer got lost. Nothing
+                  // acts under it any more, so it need not be waited out.
+                  spdlog::info("giving up the lease of term {} from before a restart",
+                               record->term);
+                  store_->Revoke(record->lease);
+                  return LookLater(lease_s_ / kRenewals / 4);
+                }
+                Learn(record->node, record->term);
+                Watch(item->version);
+              });
+}
+
+void Elector::Watch(uint64_t after) {
+  store_->Watch(kLeaderKey, after, 2 * lease_s_, [this](state::Outcome outcome) {
+    if (leading_) return;
+    // Whatever happened, the key itself is read next. During an outage don't spin.
+    if (outcome == state::Outcome::kOk) return Look();
+    LookLater(lease_s_ / kRenewals / 2);
+  });
+}
+
+void Elector::Learn(const std::string& node, uint64_t term) {
+  if (term < leader_term_) return;
+  if (term > leader_term_) spdlog::info("{} leads term {}", node, term);
+  leader_ = node;
+  leader_term_ = term;
+  highest_seen_ = std::max(highest_seen_, term);
+}
+
+void Elector::Campaign() {
+  leader_.clear();
+  store_->Get(kTermKey, core::Importance::kLeadership,
+              [this](state::Outcome outcome, std::optional<wire::StoreItem> item, uint64_t) {
+                if (leading_) return;
+                if (outcome != state::Outcome::kOk && outcome != state::Outcome::kNotFound) {
+                  return LookLater(lease_s_ / kRenewals / 2);
+                }
+                uint64_t term = 0;
+                uint64_t version = 0;
+                if (item) {
+                  version = item->version;
+                  if (item->value.is_number_unsigned()) term = item->value.get<uint64_t>();
+                }
+                const double asked_at = net::SteadyNow();
+                store_->Grant(lease_s_, [this, term, version, asked_at](state::Outcome granted,
+                                                                        uint64_t lease) {
+                  if (leading_) return;
+                  if (granted != state::Outcome::kOk) return LookLater(lease_s_ / kRenewals / 2);
+                  Elect(term + 1, version, lease, asked_at);
+                });
+              });
+}
+
+void Elector::Elect(uint64_t term, uint64_t term_version, uint64_t lease, double asked_at) {
+  const wire::Json record{{"node", node_}, {"term", term}, {"lease", lease}};
+  store_->Commit({{kLeaderKey, 0}, {kTermKey, term_version}},
+                 {{kLeaderKey, record, lease}, {kTermKey, wire::Json(term), std::nullopt}},
+                 core::Importance::kLeadership,
+                 [this, term, lease, asked_at](state::Outcome outcome, uint64_t revision,
+                                               const std::vector<std::string>&) {
+                   if (leading_) return;
+                   if (outcome != state::Outcome::kOk) {
+                     // Lost, or unanswered. In doubt the term is not taken: Look finds the key, if
+                     // it is ours, and gives it up.
+                     if (outcome != state::Outcome::kUnknown) store_->Revoke(lease);
+                     return LookLater(outcome == state::Outcome::kConflict
+                                          ? 0
+                                          : lease_s_ / kRenewals / 2);
+                   }
+                   leading_ = true;
+                   renewing_ = false;
+                   lease_ = lease;
+                   term_ = term;
+                   valid_until_ = asked_at + lease_s_ * (1 - kSafety);
+                   spdlog::info("elected leader of term {}", term);
+                   Learn(node_, term);
+                   loop_->StartTimer(&renew_timer_, lease_s_ / kRenewals, [this] { Renew(); });
+                   hooks_.on_elected(term, {kLeaderKey, revision});
+                 });
+}
+
+void Elector::Renew() {
+  if (!leading_) return;
+  loop_->StartTimer(&renew_timer_, lease_s_ / kRenewals, [this] { Renew(); });
+  if (renewing_) return;
+  renewing_ = true;
+  const double asked_at = net::SteadyNow();
+  const uint64_t lease = lease_;
+  store_->Renew(lease, lease_s_ / kRenewals * 2,
+                [this, lease, asked_at](state::Outcome outcome, uint64_t) {
+                  if (!leading_ || lease != lease_) return;
+                  renewing_ = false;
+                  if (outcome == state::Outcome::kOk) {
+                    if (net::SteadyNow() >= valid_until_) {
+                      spdlog::info("the lease of term {} is valid again", term_);
+                    }
+                    valid_until_ = std::max(valid_until_, asked_at + lease_s_ * (1 - kSafety));
+                  } else if (outcome == state::Outcome::kNotFound) {
+                    Lose("the lease has ended");
+                  }
+                  // Anything else: an outage, or only this node is refused. The lease runs on, and
+                  // out, by itself.
+                });
+}
+
+void Elector::Lose(const char* why) {
+  if (!leading_) return;
+  spdlog::info("no longer leader of term {}: {}", term_, why);
+  leading_ = false;
+  renew_timer_.Cancel();
+  store_->Revoke(lease_);
+  if (leader_ == node_) leader_.clear();
+  hooks_.on_lost();
+  LookLater(0);
+}
+
+void Elector::OnTermSeen(uint64_t term) {
+  highest_seen_ = std::max(highest_seen_, term);
+  if (leading_ && term > term_) Lose("a higher term was seen");
+}
+
+void Elector::OnLeaderNotice(const std::string& node, uint64_t term) {
+  OnTermSeen(term);
+  if (!leading_) Learn(node, term);
+}
+
+void Elector::OnFenced() { Lose("a commit was fenced off"); }
+
+}  // namespace zinclead::election
--- /dev/null
+++ b/src/election/elector.h
@@ -0,0 +1,78 @@
+// Leadership: one key in the state service, attached to a lease. Whoever holds it leads for a term;
+// terms rise strictly, as the election's transaction counts the term key up.
+#ifndef ZINCLEAD_ELECTION_ELECTOR_H_
+#define ZINCLEAD_ELECTION_ELECTOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "config/operator_settings.h"
+#include "config/settings.h"
+#include "state/store_client.h"
+
+namespace zinclead::election {
+
+inline constexpr char kLeaderKey[] = "zinclead/leader";
+inline constexpr char kTermKey[] = "zinclead/term";
+
+class Elector {
+ public:
+  struct Hooks {
+    std::function<void(uint64_t term, wire::StoreCondition fence)> on_elected;
+    std::function<void()> on_lost;
+  };
+  Elector(net::EventLoop* loop, state::StoreClient* store, const config::Settings& settings,
+          const config::OperatorSettings& tuning, Hooks hooks);
+
+  void Start();
+
+  // This node holds the leader key as far as it knows. Its lease may have lapsed by its own clock.
+  bool leading() const { return leading_; }
+  // No other node can be leader now: its lease is valid by its own clock, drift included.
+  bool Valid(double now) const { return leading_ && now < valid_until_; }
+  // Since when the lease may have ended, if it may have.
+  double valid_until() const { return valid_until_; }
+  uint64_t term() const { return term_; }
+
+  // The newest leader known, from the store or from a peer. Empty: none.
+  const std::string& leader() const { return leader_; }
+  uint64_t leader_term() const { return leader_term_; }
+
+  // Someone has shown a term: a newer leader exists if it is higher than ours.
+  void OnTermSeen(uint64_t term);
+  // A peer says that it leads.
+  void OnLeaderNotice(const std::string& node, uint64_t term);
+  // A commit was fenced off.
+  void OnFenced();
+
+ private:
+  void Look();
+  void LookLater(double delay_s);
+  void Watch(uint64_t after);
+  void Campaign();
+  void Elect(uint64_t term, uint64_t term_version, uint64_t lease, double asked_at);
+  void Renew();
+  void Lose(const char* why);
+  void Learn(const std::string& node, uint64_t term);
+
+  net::EventLoop* loop_;
+  state::StoreClient* store_;
+  const std::string node_;
+  const double lease_s_;
+  Hooks hooks_;
+  net::EventLoop::Timer timer_;
+  net::EventLoop::Timer renew_timer_;
+  bool leading_ = false;
+  bool renewing_ = false;
+  uint64_t lease_ = 0;
+  uint64_t term_ = 0;
+  double valid_until_ = 0;
+  std::string leader_;
+  uint64_t leader_term_ = 0;
+  uint64_t highest_seen_ = 0;
+};
+
+}  // namespace zinclead::election
+
+#endif  // ZINCLEAD_ELECTION_ELECTOR_H_
--- /dev/null
+++ b/src/net/event_loop.cc
@@ -0,0 +1,88 @@
+#include "net/event_loop.h"
+
+#include <event2/thread.h>
+
+#include <chrono>
+#include <cmath>
+#include <stdexcept>
+#include <utility>
+
+namespace zinclead::net {
+
+double SteadyNow() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+double WallNow() {
+  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+timeval ToTimeval(double seconds) {
+  if (seconds < 0) seconds = 0;
+  timeval tv{};
+  tv.tv_sec = static_cast<time_t>(std::floor(seconds));
+  tv.tv_usec = static_cast<suseconds_t>((seconds - std::floor(seconds)) * 1e6);
+  return tv;
+}
+
+EventLoop::EventLoop() {
+  evthread_use_pthreads();
+  base_ = event_base_new();
+  if (base_ == nullptr) throw std::runtime_error("cannot create the event loop");
+  wake_ = event_new(
+      base_, -1, EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->Drain(); }, this);
+}
+
+EventLoop::~EventLoop() {
+  event_free(wake_);
+  event_base_free(base_);
+}
+
+void EventLoop::Run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void EventLoop::Stop() { event_base_loopbreak(base_); }
+
+void EventLoop::Post(std::function<void()> task) {
+  {
+    const std::lock_guard lock(mutex_);
+    posted_.push_back(std::move(task));
+    if (posted_.size() > 1) return;  // the loop was woken for the first one already
+  }
+  event_active(wake_, EV_TIMEOUT, 0);
+}
+
+void EventLoop::Drain() {
+  std::vector<std::function<void()>> tasks;
+  {
+    const std::lock_guard lock(mutex_);
+    tasks.swap(posted_);
+  }
+  for (auto& task : tasks) task();
+}
+
+void EventLoop::StartTimer(Timer* timer, double delay_s, std::function<void()> task) {
+  timer->Cancel();
+  timer->task_ = std::move(task);
+  timer->event_ = evtimer_new(
+      base_,
+      [](evutil_socket_t, short, void* arg) {
+        auto* t = static_cast<Timer*>(arg);
+        // The task may restart or destroy the timer: nothing of it is touched afterwards.
+        const std::function<void()> run = std::move(t->task_);
+        t->Cancel();
+        run();
+      },
+      timer);
+  const timeval tv = ToTimeval(delay_s);
+  evtimer_add(timer->event_, &tv);
+}
+
+void EventLoop::Timer::Cancel() {
+  if (event_ == nullptr) return;
+  event_free(event_);
+  event_ = nullptr;
+  task_ = nullptr;
+}
+
+}  // namespace zinclead::net
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,66 @@
+// The I/O loop of the process: one libevent base, run by one thread. Other threads reach it only
+// through Post.
+#ifndef ZINCLEAD_NET_EVENT_LOOP_H_
+#define ZINCLEAD_NET_EVENT_LOOP_H_
+
+#include <event2/event.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace zinclead::net {
+
+// Seconds on the steady clock.
+double SteadyNow();
+// Seconds since the epoch, within the platform's clock error.
+double WallNow();
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Runs until Stop. Everything but Post and Stop belongs to the thread that runs the loop.
+  void Run();
+  void Stop();
+
+  // Thread-safe: runs `task` on the loop's thread soon.
+  void Post(std::function<void()> task);
+
+  // One-shot timer. A handle that is dropped cancels it.
+  class Timer {
+   public:
+    Timer() = default;
+    ~Timer() { Cancel(); }
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+    void Cancel();
+    bool pending() const { return event_ != nullptr; }
+
+   private:
+    friend class EventLoop;
+    event* event_ = nullptr;
+    std::function<void()> task_;
+  };
+  void StartTimer(Timer* timer, double delay_s, std::function<void()> task);
+
+  event_base* base() { return base_; }
+
+ private:
+  void Drain();
+
+  event_base* base_;
+  event* wake_;
+  std::mutex mutex_;
+  std::vector<std::function<void()>> posted_;  // guarded by mutex_
+};
+
+timeval ToTimeval(double seconds);
+
+}  // namespace zinclead::net
+
+#endif  // ZINCLEAD_NET_EVENT_LOOP_H_
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,64 @@
+// HTTP server on evhttp. Handlers answer at once or later through the Responder they were given.
+#ifndef ZINCLEAD_NET_HTTP_SERVER_H_
+#define ZINCLEAD_NET_HTTP_SERVER_H_
+
+#include <event2/http.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/event_loop.h"
+
+namespace zinclead::net {
+
+struct ServerRequest {
+  std::string method;
+  std::string path;  // without the query
+  std::string body;
+};
+
+struct Response {
+  int status = 0;  // 0: no answer came
+  int retry_after_s = 0;
+  std::string body;
+};
+
+// Answers one request, once; later calls have no effect. If it is dropped without an answer, the
+// client gets 500 rather than silence.
+class Responder {
+ public:
+  explicit Responder(evhttp_request* request) : request_(request) {}
+  ~Responder();
+  Responder(const Responder&) = delete;
+  Responder& operator=(const Responder&) = delete;
+  void Send(const Response& response);
+  bool answered() const { return request_ == nullptr; }
+
+ private:
+  evhttp_request* request_;
+};
+using ResponderPtr = std::shared_ptr<Responder>;
+
+class HttpServer {
+ public:
+  using Handler = std::function<void(ServerRequest, ResponderPtr)>;
+  // `max_body`: larger bodies still reach the handler up to four times this size, so that it can
+  // refuse them in its own words.
+  HttpServer(EventLoop* loop, const std::string& host, uint16_t port, size_t max_body,
+             double idle_s, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  uint16_t port() const { return port_; }
+
+ private:
+  static void OnRequest(evhttp_request* request, void* self);
+  evhttp* http_;
+  uint16_t port_ = 0;
+  Handler handler_;
+};
+
+}  // namespace zinclead::net
+
+#endif  // ZINCLEAD_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/service/leader.cc
@@ -0,0 +1,338 @@
+#include "service/leader.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace zinclead::service {
+namespace {
+
+using core::CancelOutcome;
+using core::SubmitOutcome;
+
+// A user who waits for durability is told to come back before losing patience.
+constexpr double kPatienceShare = 0.6;
+
+}  // namespace
+
+net::Response TryLater(const char* why) { return {503, 1, wire::ErrorBody(why)}; }
+
+Leader::Leader(net::EventLoop* loop, const config::Settings& settings,
+               const config::OperatorSettings& tuning, state::StoreClient* store,
+               cloud::CloudClient* cloud, election::Elector* elector, SchedulerState* scheduler,
+               uint64_t term, wire::StoreCondition fence)
+    : loop_(loop),
+      settings_(settings),
+      tuning_(tuning),
+      store_(store),
+      cloud_(cloud),
+      elector_(elector),
+      scheduler_(scheduler),
+      term_(term),
+      fence_(std::move(fence)),
+      cluster_(std::make_unique<core::Cluster>(settings, tuning, term, net::SteadyNow(),
+                                               net::WallNow(), std::random_device()())) {
+  load_started_ = net::SteadyNow();
+  Load("");
+}
+
+Leader::~Leader() {
+  *alive_ = false;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    if (scheduler_->cluster == cluster_.get()) scheduler_->cluster = nullptr;
+  }
+  // Whether they were carried out is for the next leader to say.
+  for (auto& [id, waiters] : waiters_) {
+    for (Waiter& waiter : waiters) waiter.reply(TryLater("the leader is changing"));
+  }
+}
+
+// The fence holds since before the first page is read: nothing that an earlier leader still sends
+// can change the records behind our back.
+void Leader::Load(const std::string& after) {
+  store_->List(std::string(core::kRootPrefix), after, core::Importance::kLeadership,
+               [this, alive = alive_, after](state::Outcome outcome, wire::StorePage page) {
+                 if (!*alive) return;
+                 if (outcome != state::Outcome::kOk) {
+                   loop_->StartTimer(&load_timer_, settings_.report_s / 10,
+                                     [this, after] { Load(after); });
+                   return;
+                 }
+                 for (wire::StoreItem& item : page.items) {
+                   ++records_;
+                   versions_[item.key] = item.version;
+                   if (!cluster_->LoadRecord(item.key, item.value)) {
+                     spdlog::error("record {} can't be understood, left alone", item.key);
+                   }
+                 }
+                 if (page.more && !page.items.empty()) return Load(page.items.back().key);
+                 Loaded();
+               });
+}
+
+void Leader::Loaded() {
+  const double now = net::SteadyNow();
+  cluster_->FinishLoading(now);
+  committer_ = std::make_unique<state::Committer>(
+      loop_, store_, settings_, &scheduler_->mutex, cluster_.get(), fence_, std::move(versions_),
+      state::Committer::Hooks{[this] { OnStored(); },
+                              [elector = elector_] { elector->OnFenced(); }});
+  loaded_ = true;
+  spdlog::info("term {}: {} records loaded in {:.3f} s, {} active jobs, {} machines", term_,
+               records_, now - load_started_, cluster_->ActiveJobs(), cluster_->machines().size());
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    scheduler_->cluster = cluster_.get();
+  }
+  AfterChange();
+  Tick();
+}
+
+// The answer of a leader may be given while its lease is valid; workers' leases are kept up for a
+// while longer, so that a common outage of the state service kills no running work.
+bool Leader::Entitled(double now) const {
+  return loaded_ &&
+         now < elector_->valid_until() + core::Cluster::KeepAliveLimit(settings_);
+}
+
+void Leader::Tick() {
+  loop_->StartTimer(&tick_, settings_.report_s / 4, [this] { Tick(); });
+  const double now = net::SteadyNow();
+  std::vector<Waiter> late;
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    auto& list = it->second;
+    for (Waiter& waiter : list) {
+      if (waiter.until <= now) late.push_back(std::move(waiter));
+    }
+    std::erase_if(list, [](const Waiter& w) { return w.reply == nullptr; });
+    it = list.empty() ? waiters_.erase(it) : std::next(it);
+  }
+  for (Waiter& waiter : late) waiter.reply(TryLater("the state service does not answer"));
+  PollCloud(now);
+  if (now >= summary_at_) {
+    summary_at_ = now + settings_.lease_s;
+    const std::lock_guard lock(scheduler_->mutex);
+    spdlog::info("term {}: {} active jobs, {} pending tasks, {} machines{}", term_,
+                 cluster_->ActiveJobs(), cluster_->PendingTasks(), cluster_->machines().size(),
+                 cluster_->settled() ? "" : ", taking over");
+  }
+}
+
+void Leader::PollCloud(double now) {
+  if (now >= types_at_) {
+    bool known = false;
+    {
+      const std::lock_guard lock(scheduler_->mutex);
+      known = cluster_->HasMachineTypes();
+    }
+    types_at_ = now + (known ? tuning_.idle_s : settings_.report_s / 3);
+    cloud_->MachineTypes([this, alive = alive_](std::optional<std::vector<wire::MachineType>> types) {
+      if (!*alive || !types) return;
+      {
+        const std::lock_guard lock(scheduler_->mutex);
+        cluster_->OnMachineTypes(*types);
+      }
+      AfterChange();
+    });
+  }
+  if (now >= list_at_) {
+    list_at_ = now + std::max(2 * settings_.cloud_list_lag_s, settings_.lease_s / 2);
+    cloud_->List([this, alive = alive_](std::optional<std::vector<wire::ListedMachine>> machines) {
+      if (!*alive || !machines) return;
+      {
+        const std::lock_guard lock(scheduler_->mutex);
+        cluster_->OnMachineList(*machines, net::SteadyNow());
+      }
+      AfterChange();
+    });
+  }
+}
+
+void Leader::AfterChange() {
+  if (!loaded_) return;
+  bool schedule = false;
+  bool write = false;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    schedule = cluster_->NeedsSchedule();
+    write = cluster_->HasDirty();
+    if (schedule) scheduler_->wanted = true;
+  }
+  if (schedule) scheduler_->wake.notify_one();
+  if (write) committer_->Kick();
+}
+
+void Leader::Apply(const core::Effects& effects) {
+  for (const wire::RentRequest& request : effects.rent) {
+    spdlog::info("renting {} {} in {}{} ({})", request.count, request.type, request.zone,
+                 request.spot ? ", spot" : "", request.name);
+    cloud_->Rent(request, [this, alive = alive_, request](cloud::RentResult result,
+                                                          const std::vector<std::string>& names) {
+      if (!*alive) return;
+      using Outcome = core::Cluster::RentOutcome;
+      Outcome outcome = Outcome::kUnknown;
+      if (result == cloud::RentResult::kRented) outcome = Outcome::kRented;
+      if (result == cloud::RentResult::kNoCapacity) outcome = Outcome::kNoCapacity;
+      spdlog::debug("rent {}: {} machines, outcome {}", request.name, names.size(),
+                    static_cast<int>(outcome));
+      {
+        const std::lock_guard lock(scheduler_->mutex);
+        cluster_->OnRented(request.name, outcome, names, net::SteadyNow());
+      }
+      AfterChange();
+    });
+  }
+  for (size_t i = 0; i < effects.remove.size(); i += wire::kMaxDeleteNames) {
+    const std::vector<std::string> names(
+        effects.remove.begin() + static_cast<std::ptrdiff_t>(i),
+        effects.remove.begin() +
+            static_cast<std::ptrdiff_t>(std::min(i + wire::kMaxDeleteNames, effects.remove.size())));
+    spdlog::info("returning {} machines, {} the first", names.size(), names.front());
+    cloud_->Delete(names, [this, alive = alive_, names](bool gone) {
+      if (!*alive) return;
+      {
+        const std::lock_guard lock(scheduler_->mutex);
+        cluster_->OnDeleted(names, gone, net::SteadyNow());
+      }
+      AfterChange();
+    });
+  }
+  AfterChange();
+}
+
+void Leader::OnStored() {
+  std::vector<std::string> settled;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    settled = cluster_->TakeSettledJobs();
+  }
+  const auto alive = alive_;
+  for (const std::string& id : settled) {
+    AnswerWaiters(id);
+    if (!*alive) return;
+  }
+  AfterChange();
+}
+
+void Leader::AnswerWaiters(const std::string& id) {
+  const auto it = waiters_.find(id);
+  if (it == waiters_.end()) return;
+  std::optional<core::Cluster::JobView> view;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    view = cluster_->View(id);
+  }
+  if (!view || !view->stored) return;
+  std::vector<Waiter> ready;
+  for (Waiter& waiter : it->second) {
+    // Who submits waits for the record, who cancels for the end.
+    if (waiter.submission || view->final) ready.push_back(std::move(waiter));
+  }
+  std::erase_if(it->second, [](const Waiter& w) { return w.reply == nullptr; });
+  if (it->second.empty()) waiters_.erase(it);
+  const bool valid = elector_->Valid(net::SteadyNow());
+  for (Waiter& waiter : ready) {
+    if (!valid && !view->final) {
+      waiter.reply(TryLater("the leader's lease has lapsed"));
+    } else {
+      waiter.reply({waiter.submission ? 201 : 200, 0, wire::JobStatusBody(id, view->phase)});
+    }
+  }
+}
+
+void Leader::Submit(const wire::JobSpec& spec, Reply reply) {
+  const double now = net::SteadyNow();
+  if (!loaded_) return reply(TryLater("the leader is loading its records"));
+  if (!elector_->Valid(now)) {
+    // Nothing can be made durable now. What is final stays true, whoever leads.
+    std::optional<core::Cluster::JobView> view;
+    {
+      const std::lock_guard lock(scheduler_->mutex);
+      view = cluster_->View(spec.id);
+    }
+    if (view && view->final) return reply({200, 0, wire::JobStatusBody(spec.id, view->phase)});
+    return reply(TryLater("the state service does not answer"));
+  }
+  std::string error;
+  SubmitOutcome outcome{};
+  std::optional<core::Cluster::JobView> view;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    outcome = cluster_->Submit(spec, now, net::WallNow(), &error);
+    view = cluster_->View(spec.id);
+  }
+  switch (outcome) {
+    case SubmitOutcome::kKnown:
+      return reply({200, 0, wire::JobStatusBody(spec.id, view->phase)});
+    case SubmitOutcome::kAccepted:
+    case SubmitOutcome::kPendingStore:
+      waiters_[spec.id].push_back(
+          {std::move(reply), now + kPatienceShare * wire::kSubmitPatienceS, true});
+      return AfterChange();
+    case SubmitOutcome::kUnprocessable:
+      return reply({422, 0, wire::ErrorBody(error)});
+    case SubmitOutcome::kBusy:
+      return reply({429, static_cast<int>(tuning_.retry_s) + 1,
+                    wire::ErrorBody("too many active jobs, come back later")});
+    case SubmitOutcome::kUndecided:
+      return reply(TryLater("the machine types are not known yet"));
+  }
+}
+
+void Leader::Query(const std::string& id, const Reply& reply) {
+  if (!loaded_) return reply(TryLater("the leader is loading its records"));
+  std::optional<core::Cluster::JobView> view;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    view = cluster_->View(id);
+  }
+  const bool valid = elector_->Valid(net::SteadyNow());
+  if (view && (view->final || (valid && view->stored))) {
+    return reply({200, 0, wire::JobProgressBody(id, view->phase, view->done, view->running)});
+  }
+  if (!valid) return reply(TryLater("the state service does not answer"));
+  if (view) return reply(TryLater("the submission is being recorded"));
+  reply({404, 0, wire::ErrorBody("no such job")});
+}
+
+void Leader::Cancel(const std::string& id, Reply reply) {
+  const double now = net::SteadyNow();
+  if (!loaded_) return reply(TryLater("the leader is loading its records"));
+  if (!elector_->Valid(now)) return reply(TryLater("the state service does not answer"));
+  CancelOutcome outcome{};
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    outcome = cluster_->Cancel(id, now);
+  }
+  switch (outcome) {
+    case CancelOutcome::kCancelled:
+      return reply({200, 0, wire::JobStatusBody(id, wire::JobPhase::kCancelled)});
+    case CancelOutcome::kDone:
+      return reply({200, 0, wire::JobStatusBody(id, wire::JobPhase::kDone)});
+    case CancelOutcome::kPendingStore:
+      waiters_[id].push_back({std::move(reply), now + kPatienceShare * wire::kPollPatienceS, false});
+      return AfterChange();
+    case CancelOutcome::kUnknown:
+      return reply({404, 0, wire::ErrorBody("no such job")});
+    case CancelOutcome::kUndecided:
+      return reply(TryLater("the submission is being recorded"));
+  }
+}
+
+net::Response Leader::OnReport(const wire::Report& report) {
+  const double now = net::SteadyNow();
+  if (!Entitled(now)) return TryLater("not entitled to answer workers now");
+  core::Cluster::HelloResult result;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    result = cluster_->OnReport(report, now);
+  }
+  AfterChange();
+  if (result.refuse) return TryLater("a late report");
+  return {200, 0, wire::CommandsBody(term_, result.commands)};
+}
+
+}  // namespace zinclead::service
--- /dev/null
+++ b/src/service/leader.h
@@ -0,0 +1,103 @@
+// One term of leadership: loads the records, answers users and workers, writes and calls the cloud.
+// Made when the node is elected, destroyed when the term is over.
+#ifndef ZINCLEAD_SERVICE_LEADER_H_
+#define ZINCLEAD_SERVICE_LEADER_H_
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cloud/cloud_client.h"
+#include "config/operator_settings.h"
+#include "config/settings.h"
+#include "core/cluster.h"
+#include "election/elector.h"
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "state/committer.h"
+#include "state/store_client.h"
+#include "wire/wire.h"
+
+namespace zinclead::service {
+
+using Reply = std::function<void(net::Response)>;
+
+// What the I/O thread and the scheduler thread share. The lock is never held across I/O.
+struct SchedulerState {
+  std::mutex mutex;
+  std::condition_variable wake;
+  core::Cluster* cluster = nullptr;  // guarded by mutex; null: no term, or not loaded yet
+  bool wanted = false;               // guarded by mutex; a pass is asked for
+  bool stop = false;                 // guarded by mutex
+};
+
+net::Response TryLater(const char* why);
+
+class Leader {
+ public:
+  Leader(net::EventLoop* loop, const config::Settings& settings,
+         const config::OperatorSettings& tuning, state::StoreClient* store,
+         cloud::CloudClient* cloud, election::Elector* elector, SchedulerState* scheduler,
+         uint64_t term, wire::StoreCondition fence);
+  ~Leader();
+  Leader(const Leader&) = delete;
+  Leader& operator=(const Leader&) = delete;
+
+  // Answers a user's call now, or once what it asks for is durable.
+  void Submit(const wire::JobSpec& spec, Reply reply);
+  void Query(const std::string& id, const Reply& reply);
+  void Cancel(const std::string& id, Reply reply);
+
+  net::Response OnReport(const wire::Report& report);
+  void Apply(const core::Effects& effects);
+
+  bool loaded() const { return loaded_; }
+  uint64_t term() const { return term_; }
+
+ private:
+  struct Waiter {
+    Reply reply;
+    double until = 0;
+    bool submission = false;
+  };
+  void Load(const std::string& after);
+  void Loaded();
+  void Tick();
+  void PollCloud(double now);
+  void AfterChange();
+  void OnStored();
+  void AnswerWaiters(const std::string& id);
+  bool Entitled(double now) const;
+
+  net::EventLoop* loop_;
+  const config::Settings& settings_;
+  const config::OperatorSettings& tuning_;
+  state::StoreClient* store_;
+  cloud::CloudClient* cloud_;
+  election::Elector* elector_;
+  SchedulerState* scheduler_;
+  const uint64_t term_;
+  const wire::StoreCondition fence_;
+  std::unique_ptr<core::Cluster> cluster_;  // guarded by scheduler_->mutex once loaded
+  std::unique_ptr<state::Committer> committer_;
+  std::unordered_map<std::string, uint64_t> versions_;
+  std::unordered_map<std::string, std::vector<Waiter>> waiters_;
+  bool loaded_ = false;
+  double load_started_ = 0;
+  size_t records_ = 0;
+  double types_at_ = 0;
+  double list_at_ = 0;
+  double summary_at_ = 0;
+  net::EventLoop::Timer tick_;
+  net::EventLoop::Timer load_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace zinclead::service
+
+#endif  // ZINCLEAD_SERVICE_LEADER_H_
--- /dev/null
+++ b/src/service/node.cc
@@ -0,0 +1,236 @@
+#include "service/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <utility>
+
+namespace zinclead::service {
+namespace {
+
+constexpr size_t kPeerConnections = 8;
+constexpr size_t kPeerQueue = 64;
+// Of the time that the caller waits, what a forwarded call may take.
+constexpr double kForwardShare = 0.75;
+
+net::Response BadRequest(const std::string& why) { return {400, 0, wire::ErrorBody(why)}; }
+net::Response NotFound() { return {404, 0, wire::ErrorBody("no such path")}; }
+net::Response WrongMethod() { return {405, 0, wire::ErrorBody("method not allowed")}; }
+
+}  // namespace
+
+Node::Node(config::Settings settings, config::OperatorSettings tuning)
+    : settings_(std::move(settings)),
+      tuning_(tuning),
+      store_(&loop_, settings_),
+      cloud_(&loop_, settings_),
+      elector_(&loop_, &store_, settings_, tuning_,
+               {[this](uint64_t term, const wire::StoreCondition& fence) { OnElected(term, fence); },
+                [this] { OnLost(); }}) {
+  for (const config::Peer& peer : settings_.peers) {
+    peers_[peer.node].client = std::make_unique<net::HttpClient>(
+        &loop_, peer.address.host, peer.address.port, kPeerConnections, kPeerQueue,
+        8 * wire::kMaxBody);
+  }
+  // Kept-open connections of workers and users fall silent for a report or a poll, not for longer.
+  const double idle_s = 4 * settings_.lease_s;
+  public_server_ = std::make_unique<net::HttpServer>(
+      &loop_, settings_.listen.host, settings_.listen.port, wire::kMaxBody, idle_s,
+      [this](const net::ServerRequest& request, const net::ResponderPtr& responder) {
+        OnPublic(request, responder);
+      });
+  back_server_ = std::make_unique<net::HttpServer>(
+      &loop_, settings_.back.host, settings_.back.port, 4 * wire::kMaxBody, idle_s,
+      [this](const net::ServerRequest& request, const net::ResponderPtr& responder) {
+        OnBack(request, responder);
+      });
+}
+
+Node::~Node() {
+  {
+    const std::lock_guard lock(scheduler_.mutex);
+    scheduler_.stop = true;
+  }
+  scheduler_.wake.notify_one();
+  if (scheduler_thread_.joinable()) scheduler_thread_.join();
+  leader_.reset();
+}
+
+void Node::Run() {
+  scheduler_thread_ = std::thread([this] { SchedulerThread(); });
+  elector_.Start();
+  loop_.Run();
+}
+
+void Node::SchedulerThread() {
+  std::unique_lock lock(scheduler_.mutex);
+  while (!scheduler_.stop) {
+    const double now = net::SteadyNow();
+    double wait = settings_.report_s;
+    if (scheduler_.cluster != nullptr) {
+      if (scheduler_.wanted || scheduler_.cluster->NextWake() <= now) {
+        scheduler_.wanted = false;
+        core::Effects effects = scheduler_.cluster->Schedule(now);
+        const uint64_t term = scheduler_.cluster->term();
+        if (!effects.empty() || scheduler_.cluster->HasDirty()) {
+          lock.unlock();
+          loop_.Post([this, term, effects = std::move(effects)] {
+            if (leader_ != nullptr && leader_->term() == term) leader_->Apply(effects);
+          });
+          lock.lock();
+        }
+        continue;
+      }
+      wait = scheduler_.cluster->NextWake() - now;
+    }
+    scheduler_.wake.wait_for(lock, std::chrono::duration<double>(wait),
+                             [this] { return scheduler_.wanted || scheduler_.stop; });
+  }
+}
+
+void Node::OnElected(uint64_t term, const wire::StoreCondition& fence) {
+  leader_ = std::make_unique<Leader>(&loop_, settings_, tuning_, &store_, &cloud_, &elector_,
+                                     &scheduler_, term, fence);
+  TellPeers();
+}
+
+void Node::OnLost() { leader_.reset(); }
+
+// A leader that lost the state service, and only that, hears of its successor from the successor.
+void Node::TellPeers() {
+  if (!elector_.leading()) return;
+  const uint64_t term = elector_.term();
+  for (auto& [name, peer] : peers_) {
+    if (peer.told_term == term) continue;
+    PeerLink* link = &peer;
+    link->client->Call("POST", std::string(wire::kPeerLeaderPath),
+                       ToJson(wire::LeaderNotice{settings_.node, term}).dump(),
+                       settings_.report_s, [this, link, term](const net::Response& response) {
+                         if (response.status != 200) return;
+                         link->told_term = term;
+                         if (const auto answer = wire::ParseLeaderNotice(response.body)) {
+                           elector_.OnTermSeen(answer->term);
+                         }
+                       });
+  }
+  loop_.StartTimer(&peer_timer_, settings_.report_s, [this] { TellPeers(); });
+}
+
+void Node::OnPublic(const net::ServerRequest& request, const net::ResponderPtr& responder) {
+  const Reply reply = [responder](const net::Response& response) { responder->Send(response); };
+  if (request.path == wire::kHealthPath) {
+    if (request.method != "GET") return reply(WrongMethod());
+    return reply({200, 0, "{}"});
+  }
+  if (request.path == wire::kReportPath) {
+    if (request.method != "POST") return reply(WrongMethod());
+    return Report(request.body, false, reply);
+  }
+  User(request.method, request.path, request.body, false, reply);
+}
+
+void Node::OnBack(const net::ServerRequest& request, const net::ResponderPtr& responder) {
+  if (request.method != "POST") return responder->Send(WrongMethod());
+  if (request.path == wire::kPeerLeaderPath) {
+    const auto notice = wire::ParseLeaderNotice(request.body);
+    if (!notice) return responder->Send(BadRequest("malformed notice"));
+    elector_.OnLeaderNotice(notice->node, notice->term);
+    return responder->Send(
+        {200, 0, ToJson(wire::LeaderNotice{elector_.leader(), elector_.leader_term()}).dump()});
+  }
+  if (request.path != wire::kPeerForwardPath) return responder->Send(NotFound());
+  const auto call = wire::ParseForwardedRequest(request.body);
+  if (!call) return responder->Send(BadRequest("malformed call"));
+  elector_.OnTermSeen(call->term);
+  const Reply reply = [this, responder](const net::Response& response) {
+    responder->Send({200, 0,
+                     ToJson(wire::ForwardedResponse{response.status, response.retry_after_s,
+                                                    response.body, elector_.leader_term()})
+                         .dump()});
+  };
+  if (call->path == wire::kReportPath) return Report(call->body, true, reply);
+  User(call->method, call->path, call->body, true, reply);
+}
+
+void Node::User(const std::string& method, const std::string& path, const std::string& body,
+                bool forwarded, const Reply& reply) {
+  if (path == wire::kJobsPath) {
+    if (method != "POST") return reply(WrongMethod());
+    std::string error;
+    const auto spec = wire::ParseSubmission(body, &error);
+    if (!spec) return reply(BadRequest(error));
+    // A record must fit a value of the state service, its done tasks included.
+    if (wire::ToJson(*spec).dump().size() > settings_.ValueBytes() / 4) {
+      return reply(BadRequest("the texts in it are too long"));
+    }
+    if (leader_ != nullptr) return leader_->Submit(*spec, reply);
+    if (forwarded) return reply(TryLater("not the leader"));
+    return Forward(method, path, body, kForwardShare * wire::kSubmitPatienceS, reply);
+  }
+  const std::string prefix = std::string(wire::kJobsPath) + "/";
+  if (path.compare(0, prefix.size(), prefix) != 0) return reply(NotFound());
+  std::string id = path.substr(prefix.size());
+  const bool cancel = id.ends_with(wire::kCancelSuffix);
+  if (cancel) id.resize(id.size() - wire::kCancelSuffix.size());
+  if (id.find('/') != std::string::npos) return reply(NotFound());
+  if (method != (cancel ? "POST" : "GET")) return reply(WrongMethod());
+  if (!wire::ValidJobId(id)) {
+    return reply({404, 0, wire::ErrorBody("no such job")});  // can't ever have been accepted
+  }
+  if (leader_ != nullptr) {
+    return cancel ? leader_->Cancel(id, reply) : leader_->Query(id, reply);
+  }
+  if (forwarded) return reply(TryLater("not the leader"));
+  Forward(method, path, "", kForwardShare * wire::kPollPatienceS, reply);
+}
+
+void Node::Report(const std::string& body, bool forwarded, const Reply& reply) {
+  std::string error;
+  const auto report = wire::ParseReport(body, &error);
+  if (!report) {
+    ++bad_reports_;
+    spdlog::error("malformed report ({} so far): {}", bad_reports_, error);
+    return reply(BadRequest(error));
+  }
+  if (leader_ != nullptr) {
+    // A worker that has seen a higher term has heard of a newer leader before we did.
+    elector_.OnTermSeen(report->token);
+  }
+  if (leader_ != nullptr) return reply(leader_->OnReport(*report));
+  if (forwarded) return reply(TryLater("not the leader"));
+  const std::string& leader = elector_.leader();
+  if (leader.empty() || !peers_.contains(leader)) return reply(TryLater("no leader"));
+  const double now = net::SteadyNow();
+  const auto it = pointed_.find(report->machine);
+  if (it != pointed_.end() && it->second > now) {
+    // It was pointed to the leader and came back: it can't reach it, but we may.
+    it->second = now + settings_.lease_s;
+    return Forward("POST", std::string(wire::kReportPath), body,
+                   kForwardShare * wire::kReportPatienceS, reply);
+  }
+  if (pointed_.size() > 10'000) pointed_.clear();
+  pointed_[report->machine] = now + settings_.lease_s;
+  reply({421, 0, wire::ReportToBody(leader)});
+}
+
+void Node::Forward(const std::string& method, const std::string& path, const std::string& body,
+                   double timeout_s, const Reply& reply) {
+  const auto peer = peers_.find(elector_.leader());
+  if (peer == peers_.end()) return reply(TryLater("no leader"));
+  peer->second.client->Call(
+      "POST", std::string(wire::kPeerForwardPath),
+      ToJson(wire::ForwardedRequest{method, path, body, elector_.leader_term()})
+          .dump(-1, ' ', false, wire::Json::error_handler_t::replace),
+      timeout_s, [this, reply](const net::Response& response) {
+        if (response.status != 200) return reply(TryLater("the leader does not answer"));
+        const auto answer = wire::ParseForwardedResponse(response.body);
+        if (!answer) {
+          spdlog::error("malformed answer of a peer");
+          return reply(TryLater("the leader's answer is malformed"));
+        }
+        elector_.OnTermSeen(answer->term);
+        reply({answer->status, answer->retry_after_s, answer->body});
+      });
+}
+
+}  // namespace zinclead::service
--- /dev/null
+++ b/src/service/node.h
@@ -0,0 +1,74 @@
+// One node of the service: takes users' and workers' calls, and answers them itself while it leads
+// or hands them to the leader.
+#ifndef ZINCLEAD_SERVICE_NODE_H_
+#define ZINCLEAD_SERVICE_NODE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+#include "cloud/cloud_client.h"
+#include "config/operator_settings.h"
+#include "config/settings.h"
+#include "election/elector.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "service/leader.h"
+#include "state/store_client.h"
+
+namespace zinclead::service {
+
+class Node {
+ public:
+  Node(config::Settings settings, config::OperatorSettings tuning);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  void Run();
+
+ private:
+  struct PeerLink {
+    std::unique_ptr<net::HttpClient> client;
+    double notice_at = 0;  // when to tell it again who leads
+    uint64_t told_term = 0;
+  };
+
+  void OnPublic(const net::ServerRequest& request, const net::ResponderPtr& responder);
+  void OnBack(const net::ServerRequest& request, const net::ResponderPtr& responder);
+  // A user's call, checked for form here and answered here or by the leader.
+  void User(const std::string& method, const std::string& path, const std::string& body,
+            bool forwarded, const Reply& reply);
+  void Report(const std::string& body, bool forwarded, const Reply& reply);
+  void Forward(const std::string& method, const std::string& path, const std::string& body,
+               double timeout_s, const Reply& reply);
+  void TellPeers();
+  void OnElected(uint64_t term, const wire::StoreCondition& fence);
+  void OnLost();
+  void SchedulerThread();
+
+  const config::Settings settings_;
+  const config::OperatorSettings tuning_;
+  net::EventLoop loop_;
+  state::StoreClient store_;
+  cloud::CloudClient cloud_;
+  election::Elector elector_;
+  SchedulerState scheduler_;
+  std::unique_ptr<Leader> leader_;
+  std::map<std::string, PeerLink> peers_;
+  // Workers that were pointed to the leader and until when they are handed on instead if they come
+  // back: they can't reach it.
+  std::unordered_map<std::string, double> pointed_;
+  uint64_t bad_reports_ = 0;
+  std::unique_ptr<net::HttpServer> public_server_;
+  std::unique_ptr<net::HttpServer> back_server_;
+  net::EventLoop::Timer peer_timer_;
+  std::thread scheduler_thread_;
+};
+
+}  // namespace zinclead::service
+
+#endif  // ZINCLEAD_SERVICE_NODE_H_
--- /dev/null
+++ b/src/state/committer.cc
@@ -0,0 +1,179 @@
+#include "state/committer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace zinclead::state {
+
+Committer::Committer(net::EventLoop* loop, StoreClient* store, const config::Settings& settings,
+                     std::mutex* mutex, core::Cluster* cluster, wire::StoreCondition fence,
+                     std::unordered_map<std::string, uint64_t> versions, Hooks hooks)
+    : loop_(loop),
+      store_(store),
+      max_ops_(static_cast<size_t>(settings.state_txn_ops)),
+      retry_s_(settings.report_s / 10),
+      mutex_(mutex),
+      cluster_(cluster),
+      fence_(std::move(fence)),
+      versions_(std::move(versions)),
+      hooks_(std::move(hooks)) {}
+
+Committer::~Committer() { *alive_ = false; }
+
+uint64_t Committer::VersionOf(const std::string& key) const {
+  const auto it = versions_.find(key);
+  return it == versions_.end() ? 0 : it->second;
+}
+
+void Committer::Later(double delay_s, std::function<void()> task) {
+  loop_->StartTimer(&timer_, delay_s, std::move(task));
+}
+
+void Committer::Kick() {
+  if (batch_ != nullptr || timer_.pending()) return;
+  if (Compose()) Send();
+}
+
+bool Committer::Compose() {
+  const std::lock_guard lock(*mutex_);
+  if (!cluster_->HasDirty()) return false;
+  const core::Importance importance = cluster_->DirtyImportance();
+  // A full transaction's worth of write tokens at once keeps the transactions few and full.
+  const double wait = store_->write_tokens().Wait(net::SteadyNow(), 1, importance);
+  if (wait > 0) {
+    Later(wait, [this] { Kick(); });
+    return false;
+  }
+  auto batch = std::make_unique<Batch>();
+  batch->importance = importance;
+  // Half of what a transaction may hold altogether leaves room for keys, conditions and syntax.
+  size_t room = wire::kMaxBody / 2;
+  for (const std::string& key : cluster_->TakeDirty(max_ops_)) {
+    std::optional<wire::Json> value = cluster_->Render(key);
+    const size_t size = value ? value->dump().size() : 0;
+    if (size > room && !batch->writes.empty()) {
+      cluster_->OnNotStored(key);
+      continue;
+    }
+    room -= std::min(room, size);
+    if (!value && VersionOf(key) == 0) {
+      cluster_->OnStored(key, net::SteadyNow());  // nothing there to delete
+      continue;
+    }
+    if (!store_->write_tokens().Take(net::SteadyNow(), 1, importance)) {
+      cluster_->OnNotStored(key);
+      continue;
+    }
+    batch->writes.push_back({key, std::move(value), std::nullopt});
+  }
+  if (batch->writes.empty()) return false;
+  batch_ = std::move(batch);
+  return true;
+}
+
+void Committer::Send() {
+  std::vector<wire::StoreCondition> conditions{fence_};
+  for (const wire::StoreWrite& write : batch_->writes) {
+    conditions.push_back({write.key, VersionOf(write.key)});
+  }
+  store_->Commit(conditions, batch_->writes, batch_->importance,
+                 [this, alive = alive_](Outcome outcome, uint64_t revision,
+                                        const std::vector<std::string>& failed) {
+                   if (*alive) OnAnswer(outcome, revision, failed);
+                 });
+}
+
+void Committer::OnAnswer(Outcome outcome, uint64_t revision,
+                         const std::vector<std::string>& failed) {
+  switch (outcome) {
+    case Outcome::kOk: {
+      std::unordered_map<std::string, uint64_t> versions;
+      for (const wire::StoreWrite& write : batch_->writes) {
+        versions[write.key] = write.value ? revision : 0;
+      }
+      return Stored(versions);
+    }
+    case Outcome::kConflict:
+      if (std::find(failed.begin(), failed.end(), fence_.key) != failed.end()) {
+        spdlog::info("commit refused: another leader has taken over");
+        const auto fenced = hooks_.on_fenced;
+        return fenced();
+      }
+      // Either an earlier copy was executed after all, or our versions are wrong: read.
+      return ReadBack();
+    case Outcome::kUnknown:
+      // It may have been executed or may be later. The same transaction again is safe, and its
+      // answer, or what is read back, decides.
+      spdlog::info("commit of {} records got no answer, repeating", batch_->writes.size());
+      batch_->in_doubt = true;
+      return Later(retry_s_, [this] { Send(); });
+    case Outcome::kRejected:
+      if (batch_->in_doubt) return Later(retry_s_, [this] { Send(); });
+      GiveBack();
+      return Later(retry_s_, [this] { Kick(); });
+    default:
+      spdlog::error("commit of {} records refused as malformed", batch_->writes.size());
+      GiveBack();
+      return Later(10 * retry_s_, [this] { Kick(); });
+  }
+}
+
+void Committer::Stored(const std::unordered_map<std::string, uint64_t>& versions) {
+  for (const auto& [key, version] : versions) {
+    if (version == 0) {
+      versions_.erase(key);
+    } else {
+      versions_[key] = version;
+    }
+  }
+  {
+    const std::lock_guard lock(*mutex_);
+    const double now = net::SteadyNow();
+    for (const wire::StoreWrite& write : batch_->writes) cluster_->OnStored(write.key, now);
+  }
+  batch_.reset();
+  const auto alive = alive_;
+  hooks_.on_stored();
+  if (*alive) Kick();
+}
+
+void Committer::GiveBack() {
+  const std::lock_guard lock(*mutex_);
+  for (const wire::StoreWrite& write : batch_->writes) cluster_->OnNotStored(write.key);
+  batch_.reset();
+}
+
+void Committer::ReadBack() {
+  reading_ = batch_->writes.size();
+  all_equal_ = true;
+  read_versions_.clear();
+  for (const wire::StoreWrite& write : batch_->writes) {
+    store_->Get(write.key, batch_->importance,
+                [this, alive = alive_, key = write.key, value = write.value](
+                    Outcome outcome, std::optional<wire::StoreItem> item, uint64_t) {
+                  if (!*alive) return;
+                  if (outcome == Outcome::kOk) {
+                    read_versions_[key] = item->version;
+                    if (!value || item->value != *value) all_equal_ = false;
+                  } else if (outcome == Outcome::kNotFound) {
+                    read_versions_[key] = 0;
+                    if (value) all_equal_ = false;
+                  }
+                  if (--reading_ > 0) return;
+                  if (read_versions_.size() < batch_->writes.size()) {
+                    Later(retry_s_, [this] { ReadBack(); });  // some read failed
+                  } else if (all_equal_) {
+                    Stored(read_versions_);
+                  } else {
+                    // Not executed, and with these versions it never will be: write anew.
+                    for (const auto& [k, version] : read_versions_) versions_[k] = version;
+                    GiveBack();
+                    Kick();
+                  }
+                });
+  }
+}
+
+}  // namespace zinclead::state
--- /dev/null
+++ b/src/state/committer.h
@@ -0,0 +1,71 @@
+// Writes the core's dirty records: one transaction at a time, each conditional on the leader key
+// (the fence) and on the version of every key it touches.
+//
+// The fence makes late transactions of an old leader fail. The keys' versions make late copies of
+// this leader's own transactions fail: without them a repeated old write could undo a newer one.
+#ifndef ZINCLEAD_STATE_COMMITTER_H_
+#define ZINCLEAD_STATE_COMMITTER_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/cluster.h"
+#include "state/store_client.h"
+
+namespace zinclead::state {
+
+class Committer {
+ public:
+  struct Hooks {
+    std::function<void()> on_stored;  // some records became durable
+    std::function<void()> on_fenced;  // another leader holds the key; may destroy the committer
+  };
+  // `mutex` guards `cluster`. Both must outlive the committer.
+  Committer(net::EventLoop* loop, StoreClient* store, const config::Settings& settings,
+            std::mutex* mutex, core::Cluster* cluster, wire::StoreCondition fence,
+            std::unordered_map<std::string, uint64_t> versions, Hooks hooks);
+  ~Committer();
+
+  // Starts a transaction if there is something to write and none is under way.
+  void Kick();
+
+ private:
+  struct Batch {
+    core::Importance importance = core::Importance::kNormal;
+    std::vector<wire::StoreWrite> writes;
+    bool in_doubt = false;  // some copy of it may have been executed
+  };
+  bool Compose();
+  void Send();
+  void OnAnswer(Outcome outcome, uint64_t revision, const std::vector<std::string>& failed);
+  void Stored(const std::unordered_map<std::string, uint64_t>& versions);
+  void GiveBack();
+  void ReadBack();
+  void Later(double delay_s, std::function<void()> task);
+  uint64_t VersionOf(const std::string& key) const;
+
+  net::EventLoop* loop_;
+  StoreClient* store_;
+  const size_t max_ops_;
+  const double retry_s_;
+  std::mutex* mutex_;
+  core::Cluster* cluster_;
+  const wire::StoreCondition fence_;
+  std::unordered_map<std::string, uint64_t> versions_;
+  Hooks hooks_;
+  std::unique_ptr<Batch> batch_;  // the transaction under way
+  // Read-back of a batch in doubt.
+  size_t reading_ = 0;
+  bool all_equal_ = false;
+  std::unordered_map<std::string, uint64_t> read_versions_;
+  net::EventLoop::Timer timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace zinclead::state
+
+#endif  // ZINCLEAD_STATE_COMMITTER_H_
