--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -200,7 +200,7 @@
     *error = "unknown team";
     return SubmitOutcome::kUnprocessable;
   }
-  const double count = spec.kind == wire::JobKind::kService ? spec.tasks : 1;
+  const double count = spec.kind == wire::JobKind::kArray ? 1 : spec.tasks;
   if ((team->cpus_max > 0 && count * spec.cpus > team->cpus_max) ||
       (team->gpus_max > 0 && count * spec.gpus > team->gpus_max)) {
     *error = "more than the team's limit";
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -65,7 +65,7 @@
 struct Machine;
 struct Job;
 
-enum class AttemptPhase : uint8_t { kPlaced, kFetching, kRunning, kSaving, kEnded };
+enum class AttemptPhase : uint8_t { kPlaced, kFetching, kWaiting, kRunning, kSaving, kEnded };
 
 // One attempt to run a task on one machine, from the decision until the machine no longer knows it.
 struct Attempt {
--- a/src/core/hello.cc
+++ b/src/core/hello.cc
@@ -18,6 +18,8 @@
   switch (phase) {
     case wire::TaskPhase::kFetching:
       return AttemptPhase::kFetching;
+    case wire::TaskPhase::kWaiting:
+      return AttemptPhase::kWaiting;
     case wire::TaskPhase::kRunning:
       return AttemptPhase::kRunning;
     case wire::TaskPhase::kSaving:
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -127,13 +127,14 @@
   void PlaceJob(Job* job) {
     one_zone_.reset();
     if (job->spec.one_zone && job->zone_counts.empty()) ChooseZone(*job);
+    if (job->spec.kind == wire::JobKind::kGang) return PlaceGang(job);
     const std::map<std::string, int> none;
     for (auto& [id, m] : c_.machines_) {
       if (job->pending == 0) return;
       if (!MachineAllowed(*job, *m)) continue;
       while (job->pending > 0 && job->need.Fits(FreeOf(*m)) &&
              ZoneAllowed(*job, m->zone, none) && WithinLimit(*job)) {
-        Place(job, m.get());
+        Place(job, m.get(), MakeAttempt(c_.term_, c_.next_attempt_++));
       }
     }
     if (job->pending == 0 || !WithinLimit(*job)) return;
@@ -144,11 +145,48 @@
     if (left > 0) Rent(*job, left, &planned);
   }
 
-  void Place(Job* job, Machine* m) {
+  // A gang starts only when all its tasks fit. When some of it is lost the rest is stopped, and
+  // everything starts anew.
+  void PlaceGang(Job* job) {
+    if (!job->active.empty()) {
+      for (auto& [index, a] : job->active) c_.StopAttempt(a, job->spec.save_s, now_);
+      return;
+    }
+    const config::Team* team = TeamOf(*job);
+    const Resources& used = c_.team_usage_[job->spec.team];
+    if (team == nullptr ||
+        (team->cpus_max > 0 && used.cpus + job->pending * job->need.cpus > team->cpus_max) ||
+        (team->gpus_max > 0 && used.gpus + job->pending * job->need.gpus > team->gpus_max)) {
+      return;
+    }
+    std::vector<Machine*> places;
+    std::map<std::string, int> planned;
+    for (auto& [id, m] : c_.machines_) {
+      if (!MachineAllowed(*job, *m)) continue;
+      Resources free = FreeOf(*m);
+      while (places.size() < job->pending && job->need.Fits(free) &&
+             ZoneAllowed(*job, m->zone, planned)) {
+        free -= job->need;
+        ++planned[m->zone];
+        places.push_back(m.get());
+      }
+    }
+    if (places.size() == job->pending) {
+      // Workers let a gang's tasks go when all of one attempt have come: they share its number.
+      const uint64_t number = MakeAttempt(c_.term_, c_.next_attempt_++);
+      for (Machine* m : places) Place(job, m, number);
+      return;
+    }
+    auto left = job->pending - static_cast<uint32_t>(places.size());
+    left = UseUpcoming(*job, left, &planned);
+    if (left > 0) Rent(*job, left, &planned);
+  }
+
+  void Place(Job* job, Machine* m, uint64_t number) {
     uint32_t index = job->first_pending;
     while (job->tasks[index] != TaskState::kPending) ++index;
     job->first_pending = index + 1;
-    Attempt* a = c_.AddAttempt(m, job, index, MakeAttempt(c_.term_, c_.next_attempt_++), now_);
+    Attempt* a = c_.AddAttempt(m, job, index, number, now_);
     job->tasks[index] = TaskState::kActive;
     --job->pending;
     job->active[index] = a;
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -186,6 +186,7 @@
 
 void Node::Report(const std::string& body, bool forwarded, const Reply& reply) {
   std::string error;
+  spdlog::debug("report: {}", body);
   const auto report = wire::ParseReport(body, &error);
   if (!report) {
     ++bad_reports_;
@@ -196,7 +197,11 @@
     // A worker that has seen a higher term has heard of a newer leader before we did.
     elector_.OnTermSeen(report->token);
   }
-  if (leader_ != nullptr) return reply(leader_->OnReport(*report));
+  if (leader_ != nullptr) {
+    net::Response response = leader_->OnReport(*report);
+    spdlog::debug("answer: {}", response.body);
+    return reply(std::move(response));
+  }
   if (forwarded) return reply(TryLater("not the leader"));
   const std::string& leader = elector_.leader();
   if (leader.empty() || !peers_.contains(leader)) return reply(TryLater("no leader"));
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -138,24 +138,28 @@
   return json.get<std::string>();
 }
 
-constexpr std::array<std::pair<const char*, JobKind>, 2> kKinds{
-    {{"sweep", JobKind::kArray}, {"daemon", JobKind::kService}}};
+constexpr std::array<std::pair<const char*, JobKind>, 3> kKinds{
+    {{"sweep", JobKind::kArray}, {"group", JobKind::kGang}, {"daemon", JobKind::kService}}};
 constexpr std::array<std::pair<const char*, Priority>, 4> kPriorities{
     {{"prod", Priority::kProduction},
      {"high", Priority::kHigh},
      {"standard", Priority::kNormal},
      {"best_effort", Priority::kLow}}};
-constexpr std::array<std::pair<const char*, TaskPhase>, 4> kTaskPhases{
+constexpr std::array<std::pair<const char*, TaskPhase>, 5> kTaskPhases{
     {{"running", TaskPhase::kRunning},
      {"fetching", TaskPhase::kFetching},
+     {"waiting", TaskPhase::kWaiting},
      {"saving", TaskPhase::kSaving},
      {"ended", TaskPhase::kEnded}}};
-constexpr std::array<std::pair<const char*, EndCause>, 6> kCauses{{{"done", EndCause::kDone},
-                                                                   {"halted", EndCause::kHalted},
-                                                                   {"error", EndCause::kError},
-                                                                   {"no_room", EndCause::kNoRoom},
-                                                                   {"in_use", EndCause::kInUse},
-                                                                   {"no_such", EndCause::kNoSuch}}};
+constexpr std::array<std::pair<const char*, EndCause>, 8> kCauses{
+    {{"done", EndCause::kDone},
+     {"halted", EndCause::kHalted},
+     {"error", EndCause::kError},
+     {"no_room", EndCause::kNoRoom},
+     {"in_use", EndCause::kInUse},
+     {"no_such", EndCause::kNoSuch},
+     {"peers", EndCause::kPeers},
+     {"incomplete", EndCause::kIncomplete}}};
 constexpr std::array<std::pair<const char*, ListedState>, 3> kListedStates{
     {{"booting", ListedState::kBooting},
      {"running", ListedState::kRunning},
@@ -343,7 +347,14 @@
       item.String("shard", &name);
       item.Unsigned("strike", &task.attempt);
       item.Enum("phase", kTaskPhases, &task.phase);
-      if (item.ok() && task.phase == TaskPhase::kEnded) item.Enum("cause", kCauses, &task.cause);
+      if (task.phase == TaskPhase::kEnded) {
+        // A cause that is not known must not cost the whole report: the task has ended all the same.
+        task.cause = EndCause::kOther;
+        const auto cause = entry.find("cause");
+        for (const auto& [label, value] : kCauses) {
+          if (item.ok() && cause != entry.end() && *cause == label) task.cause = value;
+        }
+      }
       if (item.ok() && entry.contains("kept") && entry["kept"].is_boolean()) {
         task.saved = entry["kept"].get<bool>();
       }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -27,7 +27,9 @@
 inline constexpr int kMaxMachinesPerPage = 500;
 inline constexpr int kMaxKeysPerPage = 1000;
 
-enum class JobKind : uint8_t { kArray, kService };
+// Gangs are not in PROTOCOL's table of kinds, but the platform's settings and its rehearsal know
+// them: all tasks run together or not at all.
+enum class JobKind : uint8_t { kArray, kGang, kService };
 // Ordered: the smaller value is served first.
 enum class Priority : uint8_t { kProduction, kHigh, kNormal, kLow };
 
@@ -77,8 +79,22 @@
 std::optional<TaskRef> ParseTaskName(std::string_view name);
 std::string TaskName(const std::string& job, uint32_t index);
 
-enum class TaskPhase : uint8_t { kFetching, kRunning, kSaving, kEnded };
-enum class EndCause : uint8_t { kNone, kDone, kHalted, kError, kNoRoom, kInUse, kNoSuch };
+// kWaiting: a gang's task that has its image and waits for the other tasks.
+enum class TaskPhase : uint8_t { kFetching, kWaiting, kRunning, kSaving, kEnded };
+// kPeers, kIncomplete: a gang's task ended because others of the gang did, or never came.
+// kOther: a cause this version does not know.
+enum class EndCause : uint8_t {
+  kNone,
+  kDone,
+  kHalted,
+  kError,
+  kNoRoom,
+  kInUse,
+  kNoSuch,
+  kPeers,
+  kIncomplete,
+  kOther
+};
 
 struct ReportedTask {
   TaskRef task;
