--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -106,6 +106,8 @@
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
   parsed.path = path == nullptr ? "" : path;
+  const char* query = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
+  parsed.query = query == nullptr ? "" : query;
   evbuffer* input = evhttp_request_get_input_buffer(request);
   parsed.body.resize(evbuffer_get_length(input));
   evbuffer_remove(input, parsed.body.data(), parsed.body.size());
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,6 +15,7 @@
 struct ServerRequest {
   std::string method;
   std::string path;  // without the query
+  std::string query;
   std::string body;
 };
 
--- /dev/null
+++ b/tests/committer_test.cc
@@ -0,0 +1,128 @@
+// The committer against the stand-in state service: unanswered, refused, late and fenced writes.
+
+#include "state/committer.h"
+
+#include <gtest/gtest.h>
+
+#include "election/elector.h"
+#include "fixtures.h"
+#include "stand_ins.h"
+
+namespace zinclead::state {
+namespace {
+
+using testing::Json;
+using testing::StandInStore;
+
+class CommitterTest : public ::testing::Test {
+ protected:
+  CommitterTest() : standin_(&loop_), settings_(testing::MakeSettings()) {
+    settings_.state.port = standin_.port();
+    settings_.report_s = 0.4;  // time-outs and retries are ratios to it
+    store_ = std::make_unique<StoreClient>(&loop_, settings_);
+    standin_.Execute({{"when", Json::array()},
+                      {"writes", {{{"put", election::kLeaderKey}, {"value", "us"}}}}});
+    cluster_ = std::make_unique<core::Cluster>(settings_, config::OperatorSettings(), 1,
+                                               net::SteadyNow(), net::WallNow(), 1);
+    cluster_->OnMachineTypes({testing::MakeType("c4", 4, 1)});
+    cluster_->FinishLoading(net::SteadyNow());
+    const uint64_t fence = standin_.entries()[election::kLeaderKey].version;
+    committer_ = std::make_unique<Committer>(
+        &loop_, store_.get(), settings_, &mutex_, cluster_.get(),
+        wire::StoreCondition{election::kLeaderKey, fence},
+        std::unordered_map<std::string, uint64_t>(),
+        Committer::Hooks{[] {}, [this] { fenced_ = true; }});
+  }
+  bool Until(const std::function<bool()>& done) {
+    const double limit = net::SteadyNow() + 30;
+    while (!done()) {
+      if (net::SteadyNow() > limit) return false;
+      const timeval tick = net::ToTimeval(0.01);
+      event_base_loopexit(loop_.base(), &tick);
+      event_base_dispatch(loop_.base());
+    }
+    return true;
+  }
+  void Submit(const std::string& id) {
+    std::string error;
+    ASSERT_EQ(cluster_->Submit(testing::MakeJob(id), net::SteadyNow(), net::WallNow(), &error),
+              core::SubmitOutcome::kAccepted);
+    committer_->Kick();
+  }
+  bool Durable(const std::string& id) { return cluster_->View(id)->stored; }
+
+  net::EventLoop loop_;
+  StandInStore standin_;
+  config::Settings settings_;
+  std::unique_ptr<StoreClient> store_;
+  std::mutex mutex_;
+  std::unique_ptr<core::Cluster> cluster_;
+  std::unique_ptr<Committer> committer_;
+  bool fenced_ = false;
+};
+
+TEST_F(CommitterTest, UnansweredCommitIsResolvedByReadingBack) {
+  int lost = 0;
+  standin_.fate = [&](const Json&) {
+    return lost++ < 1 ? StandInStore::Fate::kExecutedUnanswered : StandInStore::Fate::kNormal;
+  };
+  Submit("req-000001");
+  EXPECT_FALSE(Durable("req-000001"));
+  ASSERT_TRUE(Until([&] { return Durable("req-000001"); }));
+  EXPECT_FALSE(fenced_);
+  // Later writes go on from the version that was read back.
+  cluster_->Cancel("req-000001", net::SteadyNow());
+  committer_->Kick();
+  ASSERT_TRUE(Until([&] { return cluster_->View("req-000001")->final; }));
+}
+
+TEST_F(CommitterTest, RefusedCommitIsRepeatedAndNothingIsToldBefore) {
+  int refused = 0;
+  standin_.fate = [&](const Json&) {
+    return refused++ < 3 ? StandInStore::Fate::kRefused : StandInStore::Fate::kNormal;
+  };
+  Submit("req-000001");
+  ASSERT_TRUE(Until([&] { return refused >= 3; }));
+  EXPECT_FALSE(Durable("req-000001"));
+  ASSERT_TRUE(Until([&] { return Durable("req-000001"); }));
+}
+
+// Guards against a repeated old write undoing a newer one: the fence alone would let it through.
+TEST_F(CommitterTest, LateCopyOfAnOwnCommitHasNoEffect) {
+  std::vector<Json> seen;
+  standin_.fate = [&](const Json& txn) {
+    seen.push_back(txn);
+    return StandInStore::Fate::kNormal;
+  };
+  Submit("req-000001");
+  ASSERT_TRUE(Until([&] { return Durable("req-000001"); }));
+  cluster_->Cancel("req-000001", net::SteadyNow());
+  committer_->Kick();
+  ASSERT_TRUE(Until([&] { return cluster_->View("req-000001")->final; }));
+  for (const Json& txn : seen) EXPECT_EQ(standin_.Execute(txn).first, 409);
+  EXPECT_EQ(standin_.entries()["zinclead/job/req-000001"].value["final"], "cancelled");
+}
+
+TEST_F(CommitterTest, AnotherLeaderFencesItOff) {
+  standin_.Execute({{"when", Json::array()},
+                    {"writes", {{{"put", election::kLeaderKey}, {"value", "other"}}}}});
+  Submit("req-000001");
+  ASSERT_TRUE(Until([&] { return fenced_; }));
+  EXPECT_FALSE(Durable("req-000001"));
+  EXPECT_FALSE(standin_.entries().contains("zinclead/job/req-000001"));
+}
+
+TEST_F(CommitterTest, ManyRecordsGoInFewTransactions) {
+  const uint64_t before = standin_.transactions;
+  for (int i = 0; i < 40; ++i) Submit("req-" + std::to_string(i));
+  ASSERT_TRUE(Until([&] {
+    for (int i = 0; i < 40; ++i) {
+      if (!Durable("req-" + std::to_string(i))) return false;
+    }
+    return true;
+  }));
+  EXPECT_LT(standin_.transactions - before, 40U / 2);
+}
+
+}  // namespace
+}  // namespace zinclead::state
--- /dev/null
+++ b/tests/config_test.cc
@@ -0,0 +1,110 @@
+#include <gtest/gtest.h>
+
+#include "config/operator_settings.h"
+#include "config/settings.h"
+
+namespace zinclead::config {
+namespace {
+
+const char kGood[] = R"(
+node = "n0"
+zone = "a"
+listen = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+novel = "unknown fields are ignored"
+[[others]]
+node = "n1"
+zone = "b"
+address = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+count = 2
+zones = ["a", "b"]
+clock_error_ms = 250.0
+[[settings.teams]]
+name = "t"
+cpus = 1.0
+cpus_max = 2.0
+[settings.workers]
+report_s = 3.0
+lease_s = 27.0
+cancel_s = 52.0
+[settings.state]
+rps = 150.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[settings.resources]
+core_share = 0.16
+mem_mb = 104.0
+sockets = 1800
+)";
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST(Settings, ReadsThePlatformsFile) {
+  Settings s;
+  std::string error;
+  ASSERT_TRUE(ParseSettings(kGood, &s, &error)) << error;
+  EXPECT_EQ(s.peers.at(0).address.ToString(), "10.0.0.2:8081");
+  EXPECT_EQ(s.FindTeam("t")->cpus_max, 2.0);
+  EXPECT_EQ(s.ValueBytes(), 8192U);
+  EXPECT_EQ(s.state_txn_ops, 8);
+}
+
+TEST(Settings, NamesTheFieldAtFault) {
+  const std::pair<std::string, std::pair<std::string, std::string>> faults[] = {
+      {"listen", {"10.0.0.1:8080", "localhost:8080"}},
+      {"others[0].address", {"10.0.0.2:8081", "10.0.0.2"}},
+      {"settings.workers.lease_s", {"lease_s = 27.0", "lease_s = 60.0"}},
+      {"settings.workers.report_s", {"report_s = 3.0", "report_s = -1"}},
+      {"settings.state.rps", {"rps = 150.0", "rps = \"many\""}},
+      {"settings.state.txn_ops", {"txn_ops = 8", "txn_ops = 0"}},
+      {"settings.zones", {"[\"a\", \"b\"]", "[]"}},
+      {"settings.teams[0].cpus", {"cpus = 1.0", "cpus = 3.0"}},
+      {"endpoints.cloud", {"cloud = \"10.2.0.2:8443\"", ""}},
+      {"not TOML", {"node = \"n0\"", "node = "}},
+  };
+  for (const auto& [field, change] : faults) {
+    Settings s;
+    std::string error;
+    EXPECT_FALSE(ParseSettings(Replaced(change.first, change.second), &s, &error)) << field;
+    EXPECT_EQ(error.rfind(field, 0), 0U) << field << " against: " << error;
+    EXPECT_EQ(error.find('\n'), std::string::npos);
+  }
+}
+
+TEST(OperatorSettings, DefaultsAndFaults) {
+  OperatorSettings s;
+  std::string error;
+  ASSERT_TRUE(ParseOperatorSettings("<zinclead/>", &s, &error)) << error;
+  EXPECT_EQ(s.retry_s, OperatorSettings().retry_s);
+  ASSERT_TRUE(ParseOperatorSettings(
+      "<zinclead><dispatch retry-s='7.5'/><admission max-active-jobs='10'/></zinclead>", &s, &error));
+  EXPECT_EQ(s.retry_s, 7.5);
+  EXPECT_EQ(s.max_active_jobs, 10);
+  const std::pair<const char*, const char*> faults[] = {
+      {"not XML", "<zinclead>"},
+      {"zinclead", "<other/>"},
+      {"dispatch/retry-s", "<zinclead><dispatch retry-s='soon'/></zinclead>"},
+      {"dispatch/retry-s", "<zinclead><dispatch retry-s='-1'/></zinclead>"},
+      {"dispatch/retry", "<zinclead><dispatch retry='1'/></zinclead>"},
+      {"admission/max-active-jobs", "<zinclead><admission max-active-jobs='1.5'/></zinclead>"},
+  };
+  for (const auto& [field, text] : faults) {
+    EXPECT_FALSE(ParseOperatorSettings(text, &s, &error)) << text;
+    EXPECT_EQ(error.rfind(field, 0), 0U) << error;
+  }
+}
+
+}  // namespace
+}  // namespace zinclead::config
--- /dev/null
+++ b/tests/e2e_test.cc
@@ -0,0 +1,204 @@
+// Three real processes against the stand-ins on loopback; the leader is killed and restarted.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "fixtures.h"
+#include "stand_ins.h"
+
+extern char** environ;
+
+namespace zinclead::testing {
+namespace {
+
+class Cluster3 : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    // Ports that were free a moment ago; the nodes listen on them by number.
+    std::vector<std::unique_ptr<net::HttpServer>> probes;
+    for (int i = 0; i < 6; ++i) {
+      probes.push_back(std::make_unique<net::HttpServer>(
+          &loop_, "127.0.0.1", 0, 1024, 10,
+          [](const net::ServerRequest&, const net::ResponderPtr&) {}));
+      ports_.push_back(probes.back()->port());
+    }
+    probes.clear();
+    store_ = std::make_unique<StandInStore>(&loop_);
+    std::map<std::string, uint16_t> nodes;
+    for (int i = 0; i < 3; ++i) nodes["n" + std::to_string(i)] = Listen(i);
+    cloud_ = std::make_unique<StandInCloud>(
+        &loop_, std::vector<wire::MachineType>{MakeType("c4", 4, 1.0)},
+        [this, nodes](const wire::Report& identity) {
+          return std::make_unique<StandInWorker>(&loop_, identity, nodes, 0.2, 0.5);
+        });
+    for (int i = 0; i < 3; ++i) {
+      clients_.push_back(std::make_unique<net::HttpClient>(&loop_, "127.0.0.1", Listen(i), 2, 8,
+                                                           size_t{1} << 20));
+      Start(i);
+    }
+  }
+  void TearDown() override {
+    for (int i = 0; i < 3; ++i) Kill(i);
+  }
+
+  uint16_t Listen(int i) const { return ports_[static_cast<size_t>(i)]; }
+  uint16_t Back(int i) const { return ports_[static_cast<size_t>(i) + 3]; }
+
+  void Start(int i) {
+    const std::string path = ::testing::TempDir() + "zinclead-" + std::to_string(getpid()) + "-" +
+                             std::to_string(i) + ".toml";
+    std::ofstream f(path);
+    f << "node = \"n" << i << "\"\nzone = \"a\"\nlisten = \"127.0.0.1:" << Listen(i)
+      << "\"\nback = \"127.0.0.1:" << Back(i) << "\"\n";
+    for (int j = 0; j < 3; ++j) {
+      if (j == i) continue;
+      f << "[[others]]\nnode = \"n" << j << "\"\nzone = \"a\"\naddress = \"127.0.0.1:" << Back(j)
+        << "\"\n";
+    }
+    f << "[endpoints]\ncloud = \"127.0.0.1:" << cloud_->port() << "\"\nstate = \"127.0.0.1:"
+      << store_->port() << "\"\n[settings]\ncount = 3\nzones = [\"a\", \"b\", \"c\"]\n"
+      << "clock_error_ms = 100.0\n[[settings.teams]]\nname = \"open\"\n"
+      << "[settings.workers]\nreport_s = 0.5\nlease_s = 5.0\ncancel_s = 12.5\n"
+      << "[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 8\n"
+      << "[settings.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n"
+      << "[settings.resources]\ncore_share = 1.0\nmem_mb = 100.0\nsockets = 1000\n";
+    f.close();
+    std::string program = ZINCLEAD_PROGRAM;
+    std::string flag = "--config";
+    std::string file = path;
+    char* argv[] = {program.data(), flag.data(), file.data(), nullptr};
+    ASSERT_EQ(posix_spawn(&pids_[i], program.c_str(), nullptr, nullptr, argv, environ), 0);
+  }
+  void Kill(int i) {
+    if (pids_[i] == 0) return;
+    kill(pids_[i], SIGKILL);
+    waitpid(pids_[i], nullptr, 0);
+    pids_[i] = 0;
+  }
+  int Leader() {
+    const auto it = store_->entries().find("zinclead/leader");
+    if (it == store_->entries().end()) return -1;
+    return it->second.value["node"].get<std::string>()[1] - '0';
+  }
+
+  // Runs the loop until `done` says so; the limit only ends a test that would hang.
+  bool Until(const std::function<bool()>& done) {
+    const double limit = net::SteadyNow() + 60;
+    while (!done()) {
+      if (net::SteadyNow() > limit) return false;
+      const timeval tick = net::ToTimeval(0.02);
+      event_base_loopexit(loop_.base(), &tick);
+      event_base_dispatch(loop_.base());
+    }
+    return true;
+  }
+  net::Response Ask(int node, const char* method, const std::string& path,
+                    const std::string& body = "") {
+    bool done = false;
+    net::Response answer;
+    clients_[static_cast<size_t>(node)]->Call(method, path, body, 5, [&](net::Response r) {
+      answer = std::move(r);
+      done = true;
+    });
+    Until([&] { return done; });
+    return answer;
+  }
+  // Like a user: repeats a call that could not be taken.
+  net::Response AskUntilTaken(int node, const char* method, const std::string& path,
+                              const std::string& body = "") {
+    net::Response answer;
+    Until([&] {
+      answer = Ask(node, method, path, body);
+      return answer.status != 0 && answer.status != 503 && answer.status != 429;
+    });
+    return answer;
+  }
+  std::string PhaseOf(int node, const std::string& id) {
+    const net::Response r = Ask(node, "GET", "/submissions/" + id);
+    if (r.status != 200) return std::to_string(r.status);
+    return Json::parse(r.body)["phase"];
+  }
+
+  net::EventLoop loop_;
+  std::vector<uint16_t> ports_;
+  std::unique_ptr<StandInStore> store_;
+  std::unique_ptr<StandInCloud> cloud_;
+  std::vector<std::unique_ptr<net::HttpClient>> clients_;
+  pid_t pids_[3] = {0, 0, 0};
+};
+
+TEST_F(Cluster3, ServesAndSurvivesItsLeader) {
+  const std::string job1 = ToJson(MakeJob("req-000001", 6)).dump();
+  ASSERT_TRUE(Until([&] { return Leader() >= 0; }));
+  const int follower = (Leader() + 1) % 3;
+
+  // Any node takes calls; bad ones get their answer.
+  EXPECT_EQ(Ask(follower, "GET", "/healthz").status, 200);
+  EXPECT_EQ(Ask(follower, "GET", "/nowhere").status, 404);
+  EXPECT_EQ(Ask(follower, "GET", "/submissions").status, 405);
+  EXPECT_EQ(Ask(follower, "POST", "/submissions", "{").status, 400);
+  EXPECT_EQ(Ask(follower, "POST", "/submissions", std::string(70'000, 'x')).status, 400);
+  wire::JobSpec huge = MakeJob("req-000009");
+  huge.cpus = 1000;
+  EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", ToJson(huge).dump()).status, 422);
+  EXPECT_EQ(AskUntilTaken(follower, "GET", "/submissions/req-000404").status, 404);
+  EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", job1).status, 201);
+  EXPECT_EQ(AskUntilTaken(Leader(), "POST", "/submissions", job1).status, 200);
+  ASSERT_TRUE(Until([&] { return PhaseOf(follower, "req-000001") == "done"; }));
+
+  // A service runs through the death of the leader, and is not started a second time.
+  wire::JobSpec service = MakeJob("req-000002", 2);
+  service.kind = wire::JobKind::kService;
+  EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", ToJson(service).dump()).status, 201);
+  const auto starts = [&] {
+    size_t count = 0;
+    for (const auto& [id, worker] : cloud_->workers()) {
+      count += static_cast<size_t>(std::count_if(worker->started.begin(), worker->started.end(),
+                             [](const std::string& task) { return task.starts_with("req-000002/"); }));
+      for (auto& [key, task] : worker->tasks()) {
+        if (key.first.starts_with("req-000002/")) task.ends_at = 1e18;
+      }
+    }
+    return count;
+  };
+  ASSERT_TRUE(Until([&] { return starts() == 2; }));
+  const int old_leader = Leader();
+  Kill(old_leader);
+  ASSERT_TRUE(Until([&] { return Leader() >= 0 && Leader() != old_leader; }));
+  const int second = Leader();
+  EXPECT_EQ(AskUntilTaken(second, "GET", "/submissions/req-000001").status, 200);
+  EXPECT_EQ(PhaseOf(second, "req-000001"), "done");
+  EXPECT_EQ(AskUntilTaken(second, "POST", "/submissions", job1).status, 200);
+  ASSERT_TRUE(Until([&] { return PhaseOf(second, "req-000002") == "running"; }));
+  EXPECT_EQ(starts(), 2U);
+
+  // The killed one comes back and hands calls on; all of them die and nothing told is lost.
+  Start(old_leader);
+  EXPECT_EQ(AskUntilTaken(old_leader, "POST", "/submissions",
+                          ToJson(MakeJob("req-000003", 3)).dump()).status, 201);
+  for (int i = 0; i < 3; ++i) Kill(i);
+  for (int i = 0; i < 3; ++i) Start(i);
+  ASSERT_TRUE(Until([&] { return PhaseOf(0, "req-000003") == "done"; }));
+  const net::Response cancelled = AskUntilTaken(1, "POST", "/submissions/req-000002/abort");
+  EXPECT_EQ(cancelled.status, 200);
+  EXPECT_EQ(Json::parse(cancelled.body)["phase"], "cancelled");
+  ASSERT_TRUE(Until([&] {
+    for (const auto& [id, worker] : cloud_->workers()) {
+      for (const auto& [key, task] : worker->tasks()) {
+        if (key.first.starts_with("req-000002/")) return false;
+      }
+    }
+    return true;
+  }));
+  EXPECT_EQ(starts(), 2U);
+  EXPECT_EQ(PhaseOf(2, "req-000002"), "cancelled");
+}
+
+}  // namespace
+}  // namespace zinclead::testing
--- /dev/null
+++ b/tests/fixtures.h
@@ -0,0 +1,68 @@
+// Settings and jobs that the tests share.
+#ifndef ZINCLEAD_TESTS_FIXTURES_H_
+#define ZINCLEAD_TESTS_FIXTURES_H_
+
+#include <string>
+
+#include "config/operator_settings.h"
+#include "config/settings.h"
+#include "wire/wire.h"
+
+namespace zinclead::testing {
+
+inline config::Settings MakeSettings() {
+  config::Settings s;
+  s.node = "n0";
+  s.zone = "a";
+  s.listen = {"127.0.0.1", 1};
+  s.back = {"127.0.0.1", 2};
+  s.cloud = {"127.0.0.1", 3};
+  s.state = {"127.0.0.1", 4};
+  s.zones = {"a", "b", "c"};
+  s.teams = {{"open", 0, 0, 0, 0}, {"capped", 0, 8, 0, 0}};
+  s.clock_error_ms = 100;
+  s.report_s = 2;
+  s.lease_s = 10;
+  s.cancel_s = 24;
+  s.state_rps = 100;
+  s.state_write_rps = 50;
+  s.state_value_kb = 8;
+  s.state_txn_ops = 8;
+  s.cloud_rps = 10;
+  s.cloud_list_lag_s = 3;
+  s.core_share = 1;
+  s.mem_mb = 100;
+  s.sockets = 1000;
+  return s;
+}
+
+inline wire::JobSpec MakeJob(const std::string& id, uint32_t tasks = 1) {
+  wire::JobSpec spec;
+  spec.id = id;
+  spec.job_class = "batch";
+  spec.team = "open";
+  spec.tasks = tasks;
+  spec.cpus = 1;
+  spec.memory_gb = 1;
+  spec.image = "img-1";
+  spec.image_gb = 1;
+  spec.estimate_s = 10;
+  return spec;
+}
+
+inline wire::MachineType MakeType(const std::string& name, double cpus, double price) {
+  wire::MachineType type;
+  type.name = name;
+  type.cpus = cpus;
+  type.memory_gb = 4 * cpus;
+  type.fetch_gb_per_s = 1;
+  type.price = price;
+  type.spot_price = price / 3;
+  type.boot_s = 10;
+  type.zones = {"a", "b", "c"};
+  return type;
+}
+
+}  // namespace zinclead::testing
+
+#endif  // ZINCLEAD_TESTS_FIXTURES_H_
--- /dev/null
+++ b/tests/stand_ins.h
@@ -0,0 +1,326 @@
+// Stand-ins for state service, cloud and workers, written from PROTOCOL, for tests on loopback.
+#ifndef ZINCLEAD_TESTS_STAND_INS_H_
+#define ZINCLEAD_TESTS_STAND_INS_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "wire/wire.h"
+
+namespace zinclead::testing {
+
+using wire::Json;
+
+inline std::map<std::string, std::string> ParseQuery(const std::string& query) {
+  std::map<std::string, std::string> out;
+  size_t at = 0;
+  while (at < query.size()) {
+    const size_t end = std::min(query.find('&', at), query.size());
+    const std::string part = query.substr(at, end - at);
+    const size_t eq = part.find('=');
+    if (eq != std::string::npos) out[part.substr(0, eq)] = part.substr(eq + 1);
+    at = end + 1;
+  }
+  return out;
+}
+
+// Keys, transactions, leases and watches.
+class StandInStore {
+ public:
+  explicit StandInStore(net::EventLoop* loop)
+      : loop_(loop),
+        server_(loop, "127.0.0.1", 0, 1 << 20, 60,
+                [this](const net::ServerRequest& r, const net::ResponderPtr& p) { On(r, p); }) {}
+  uint16_t port() const { return server_.port(); }
+  struct Entry {
+    Json value;
+    uint64_t version = 0;
+    uint64_t lease = 0;
+  };
+  std::map<std::string, Entry>& entries() { return entries_; }
+  // Called for each transaction; the result says what happens to it.
+  enum class Fate { kNormal, kExecutedUnanswered, kRefused };
+  std::function<Fate(const Json&)> fate;
+  uint64_t transactions = 0;
+
+  std::pair<int, Json> Execute(const Json& txn) {
+    ++transactions;
+    Json failed = Json::array();
+    for (const Json& c : txn["when"]) {
+      const auto it = entries_.find(c["path"].get<std::string>());
+      if ((it == entries_.end() ? 0 : it->second.version) != c["stamp"].get<uint64_t>()) {
+        failed.push_back(c["path"]);
+      }
+    }
+    for (const Json& w : txn["writes"]) {
+      if (w.contains("tenure") && !leases_.contains(w["tenure"].get<uint64_t>())) {
+        return {400, {{"error", "no such lease"}}};
+      }
+    }
+    if (!failed.empty()) return {409, {{"failed", failed}, {"ledger", revision_}}};
+    if (!txn["writes"].empty()) ++revision_;
+    for (const Json& w : txn["writes"]) {
+      if (w.contains("put")) {
+        entries_[w["put"]] = {w["value"], revision_, w.value("tenure", uint64_t{0})};
+      } else {
+        entries_.erase(w["delete"].get<std::string>());
+      }
+    }
+    Wake();
+    return {200, {{"ledger", revision_}}};
+  }
+
+ private:
+  void On(const net::ServerRequest& r, const net::ResponderPtr& p) {
+    const auto send = [&](int status, const Json& body) { p->Send({status, 0, body.dump()}); };
+    const auto query = ParseQuery(r.query);
+    if (r.path == "/commit") {
+      const Json txn = Json::parse(r.body);
+      const Fate what = fate ? fate(txn) : Fate::kNormal;
+      if (what == Fate::kRefused) return send(503, {{"error", "trouble"}});
+      const auto [status, body] = Execute(txn);
+      if (what == Fate::kExecutedUnanswered) {
+        unanswered_.push_back(p);  // never answered: the client's time-out must deal with it
+        return;
+      }
+      return send(status, body);
+    }
+    if (r.path == "/store") {
+      Json items = Json::array();
+      const std::string prefix = query.at("prefix");
+      const auto from = query.find("from");
+      for (const auto& [key, entry] : entries_) {
+        if (key.compare(0, prefix.size(), prefix) != 0) continue;
+        if (from != query.end() && key <= from->second) continue;
+        items.push_back({{"path", key}, {"value", entry.value}, {"stamp", entry.version}});
+      }
+      return send(200, {{"entries", items}, {"truncated", false}, {"ledger", revision_}});
+    }
+    if (r.path.starts_with("/store/")) {
+      const std::string key = r.path.substr(7);
+      const auto it = entries_.find(key);
+      if (it == entries_.end()) return send(404, {{"ledger", revision_}});
+      return send(200,
+                  {{"path", key}, {"value", it->second.value}, {"stamp", it->second.version}});
+    }
+    if (r.path == "/grants") {
+      const uint64_t lease = ++last_lease_;
+      const double ttl = Json::parse(r.body)["lifeMs"].get<double>() / 1000;
+      leases_[lease].ttl = ttl;
+      Arm(lease);
+      return send(200, {{"tenure", lease}});
+    }
+    if (r.path.starts_with("/grants/")) {
+      const uint64_t lease = std::stoull(r.path.substr(8));
+      if (!leases_.contains(lease)) return send(404, Json::object());
+      if (r.method == "DELETE") {
+        End(lease);
+      } else {
+        Arm(lease);
+      }
+      return send(200, {{"tenure", lease}});
+    }
+    if (r.path == "/changes") {
+      const uint64_t after = std::stoull(query.at("from"));
+      if (revision_ > after) return send(200, {{"ledger", revision_}, {"events", Json::array()}});
+      watches_.push_back(p);
+      return;
+    }
+    send(400, Json::object());
+  }
+  void Arm(uint64_t lease) {
+    Lease& l = leases_[lease];
+    if (!l.timer) l.timer = std::make_unique<net::EventLoop::Timer>();
+    loop_->StartTimer(l.timer.get(), l.ttl, [this, lease] { End(lease); });
+  }
+  void End(uint64_t lease) {
+    leases_.erase(lease);
+    bool changed = false;
+    for (auto it = entries_.begin(); it != entries_.end();) {
+      if (it->second.lease == lease) {
+        it = entries_.erase(it);
+        changed = true;
+      } else {
+        ++it;
+      }
+    }
+    if (changed) {
+      ++revision_;
+      Wake();
+    }
+  }
+  void Wake() {
+    for (const auto& p : std::exchange(watches_, {})) {
+      p->Send({200, 0, Json{{"ledger", revision_}, {"events", Json::array()}}.dump()});
+    }
+  }
+
+  struct Lease {
+    double ttl = 0;
+    std::unique_ptr<net::EventLoop::Timer> timer;
+  };
+  net::EventLoop* loop_;
+  net::HttpServer server_;  // outlives the responders below
+  std::map<std::string, Entry> entries_;
+  std::map<uint64_t, Lease> leases_;
+  std::vector<net::ResponderPtr> watches_;
+  std::vector<net::ResponderPtr> unanswered_;
+  uint64_t revision_ = 0;
+  uint64_t last_lease_ = 0;
+};
+
+// A worker: reports, follows 421, keeps its tokens, runs tasks for `run_s`.
+class StandInWorker {
+ public:
+  struct Task {
+    wire::TaskPhase phase = wire::TaskPhase::kRunning;
+    wire::EndCause cause = wire::EndCause::kNone;
+    double ends_at = 0;
+  };
+  StandInWorker(net::EventLoop* loop, wire::Report identity,
+                std::map<std::string, uint16_t> nodes, double report_s, double run_s)
+      : loop_(loop), identity_(std::move(identity)), report_s_(report_s), run_s_(run_s) {
+    for (const auto& [node, port] : nodes) {
+      names_.push_back(node);
+      clients_[node] =
+          std::make_unique<net::HttpClient>(loop, "127.0.0.1", port, 1, 4, size_t{1} << 20);
+    }
+    identity_.session = 1;
+    Report();
+  }
+  std::map<std::pair<std::string, uint64_t>, Task>& tasks() { return tasks_; }
+  // Every start, in order.
+  std::vector<std::string> started;
+
+ private:
+  void Report() {
+    const double now = net::SteadyNow();
+    wire::Report report = identity_;
+    report.seq = ++seq_;
+    for (auto& [key, task] : tasks_) {
+      if (task.phase == wire::TaskPhase::kRunning && now >= task.ends_at) {
+        task.phase = wire::TaskPhase::kEnded;
+        task.cause = wire::EndCause::kDone;
+      }
+      report.tasks.push_back(
+          {*wire::ParseTaskName(key.first), key.second, task.phase, task.cause, false});
+    }
+    clients_[names_[at_]]->Call(
+        "POST", std::string(wire::kReportPath), ToJson(report).dump(), 4,
+        [this](const net::Response& response) {
+          double next = report_s_;
+          const Json body = Json::parse(response.body, nullptr, false);
+          if (response.status == 200 && body.is_object() &&
+              body.value("mandate", uint64_t{0}) >= identity_.token) {
+            identity_.token = body["mandate"].get<uint64_t>();
+            for (const Json& order : body["orders"]) Follow(order);
+          } else if (response.status == 421 && body.contains("foreman")) {
+            const auto it = std::find(names_.begin(), names_.end(), body["foreman"]);
+            if (it != names_.end()) at_ = static_cast<size_t>(it - names_.begin());
+            next = 0.05;
+          } else {
+            at_ = (at_ + 1) % names_.size();
+            next = report_s_;
+          }
+          loop_->StartTimer(&timer_, next, [this] { Report(); });
+        });
+  }
+  void Follow(const Json& order) {
+    const auto key = std::make_pair(order["shard"].get<std::string>(),
+                                    order["strike"].get<uint64_t>());
+    const std::string verb = order["verb"];
+    if (verb == "run" && !tasks_.contains(key)) {
+      tasks_[key].ends_at = net::SteadyNow() + run_s_;
+      started.push_back(key.first);
+    } else if (verb == "halt" && tasks_.contains(key) &&
+               tasks_[key].phase == wire::TaskPhase::kRunning) {
+      tasks_[key].phase = wire::TaskPhase::kEnded;
+      tasks_[key].cause = wire::EndCause::kHalted;
+    } else if (verb == "clear") {
+      tasks_.erase(key);
+    }
+  }
+
+  net::EventLoop* loop_;
+  wire::Report identity_;
+  std::vector<std::string> names_;
+  std::map<std::string, std::unique_ptr<net::HttpClient>> clients_;
+  size_t at_ = 0;
+  uint64_t seq_ = 0;
+  double report_s_;
+  double run_s_;
+  std::map<std::pair<std::string, uint64_t>, Task> tasks_;
+  net::EventLoop::Timer timer_;
+};
+
+// Rents machines at once; each starts a worker.
+class StandInCloud {
+ public:
+  using Boot = std::function<std::unique_ptr<StandInWorker>(const wire::Report&)>;
+  StandInCloud(net::EventLoop* loop, std::vector<wire::MachineType> types, Boot boot)
+      : types_(std::move(types)),
+        boot_(std::move(boot)),
+        server_(loop, "127.0.0.1", 0, 1 << 20, 60,
+                [this](const net::ServerRequest& r, const net::ResponderPtr& p) { On(r, p); }) {}
+  uint16_t port() const { return server_.port(); }
+  std::map<std::string, std::unique_ptr<StandInWorker>>& workers() { return workers_; }
+
+ private:
+  void On(const net::ServerRequest& r, const net::ResponderPtr& p) {
+    const auto send = [&](int status, const Json& body) { p->Send({status, 0, body.dump()}); };
+    if (r.path == "/flavors") {
+      Json types = Json::array();
+      for (const auto& type : types_) types.push_back(ToJson(type));
+      return send(200, {{"alloys", types}});
+    }
+    if (r.path == "/hosts" && r.method == "GET") {
+      return send(200, {{"anvils", Json::array()}, {"truncated", false}});
+    }
+    if (r.path == "/hosts") {
+      const Json body = Json::parse(r.body);
+      Json& names = hires_[body["hire"]];
+      if (names.is_null()) {
+        names = Json::array();
+        for (int i = 0; i < body["howMany"].get<int>(); ++i) {
+          const std::string name = "i-" + std::to_string(100'000 + ++count_);
+          wire::Report identity;
+          identity.machine = name;
+          identity.address = "127.0.0.1:1";
+          identity.type = body["alloy"];
+          identity.zone = body["yard"];
+          identity.spot = body["scrap"];
+          workers_[name] = boot_(identity);
+          names.push_back(name);
+        }
+      }
+      return send(200, {{"anvils", names}});
+    }
+    if (r.path == "/hosts/delete") {
+      const Json body = Json::parse(r.body);
+      for (const Json& name : body["anvils"]) {
+        workers_.erase(name.get<std::string>());
+      }
+      return send(200, Json::object());
+    }
+    send(400, Json::object());
+  }
+
+  std::vector<wire::MachineType> types_;
+  Boot boot_;
+  std::map<std::string, Json> hires_;
+  std::map<std::string, std::unique_ptr<StandInWorker>> workers_;
+  int count_ = 0;
+  net::HttpServer server_;
+};
+
+}  // namespace zinclead::testing
+
+#endif  // ZINCLEAD_TESTS_STAND_INS_H_
