Place services beside services and keep spare room for production ones

Cause: after the arrays ended 16 machines held 37 CPUs of services (hljod steady, windows from 500 s on); and services that arrived waited for a boot.

--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -292,6 +292,7 @@
   a->since = now;
   a->holds_room = true;
   m->used += job->need;
+  if (job->spec.kind == wire::JobKind::kService) ++m->services;
   team_usage_[job->spec.team] += job->need;
   ++job->zone_counts[m->zone];
   ++job->attempts;
@@ -304,6 +305,7 @@
   if (!a->holds_room) return;
   a->holds_room = false;
   a->machine->used -= a->job->need;
+  if (a->job->spec.kind == wire::JobKind::kService) --a->machine->services;
   team_usage_[a->job->spec.team] -= a->job->need;
   if (--a->job->zone_counts[a->machine->zone] <= 0) a->job->zone_counts.erase(a->machine->zone);
   if (a->phase == AttemptPhase::kRunning || a->phase == AttemptPhase::kSaving) --a->job->running;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -147,6 +147,7 @@
   std::set<std::string> failed_jobs;
   Resources capacity;
   Resources used;
+  int services = 0;  // tasks of services that may be on it
   std::map<std::pair<std::string, uint64_t>, std::unique_ptr<Attempt>> attempts;
   std::set<std::string> images;
 };
@@ -300,6 +301,7 @@
   void CheckMachines(double now, Effects* effects);
   void PlaceAndRent(double now);
   void SendRents(double now, Effects* effects);
+  bool NeededAsSpareRoom(const Machine& m) const;
 
   const config::Settings settings_;
   const config::OperatorSettings tuning_;
@@ -335,6 +337,10 @@
   // Done chunks that were read before their job.
   std::map<std::string, std::map<uint32_t, std::string>> loaded_done_;
   std::vector<std::string> settled_jobs_;
+  // Spare room for production services, from the last pass: how many tasks each machine could take
+  // besides what it must keep, and by how many that is more than is wanted.
+  std::map<std::string, int> spare_room_;
+  int spare_surplus_ = 0;
   bool settled_ = false;
   bool dirty_ = true;
   double next_wake_ = 0;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -13,6 +13,13 @@
 // PROTOCOL: steady clocks may drift apart by 0.05%.
 constexpr double kDrift = 0.0005;
 
+// Spare room for production services: what arrives while a machine boots, slow boots included, and
+// one more; never more than this share of what runs, so that a start with many jobs at once does not
+// count as a steady stream.
+constexpr double kSpareBoots = 1.2;
+constexpr double kSpareWindowBoots = 3;
+constexpr double kSpareShare = 0.1;
+
 }  // namespace
 
 // One pass over the pending jobs: existing machines first, then room that is on its way, then rents.
@@ -22,6 +29,7 @@
 
   void Run() {
     for (Job* job : Order()) PlaceJob(job);
+    KeepSpareRoom();
   }
 
  private:
@@ -128,15 +136,11 @@
     one_zone_.reset();
     if (job->spec.one_zone && job->zone_counts.empty()) ChooseZone(*job);
     if (job->spec.kind == wire::JobKind::kGang) return PlaceGang(job);
-    const std::map<std::string, int> none;
-    for (auto& [id, m] : c_.machines_) {
-      if (job->pending == 0) return;
-      if (!MachineAllowed(*job, *m)) continue;
-      while (job->pending > 0 && job->need.Fits(FreeOf(*m)) &&
-             ZoneAllowed(*job, m->zone, none) && WithinLimit(*job)) {
-        Place(job, m.get(), MakeAttempt(c_.term_, c_.next_attempt_++));
-      }
-    }
+    // Services stay for long: they go where services are, so that machines which only arrays keep
+    // busy can go back when those end.
+    const bool service = job->spec.kind == wire::JobKind::kService;
+    if (service) PlaceOn(job, [](const Machine& m) { return m.services > 0; });
+    PlaceOn(job, [](const Machine&) { return true; });
     if (job->pending == 0 || !WithinLimit(*job)) return;
     uint32_t left = job->pending;
     std::map<std::string, int> planned;
@@ -182,6 +186,70 @@
     if (left > 0) Rent(*job, left, &planned);
   }
 
+  template <typename F>
+  void PlaceOn(Job* job, F&& wanted) {
+    const std::map<std::string, int> none;
+    for (auto& [id, m] : c_.machines_) {
+      if (job->pending == 0) return;
+      if (!wanted(*m) || !MachineAllowed(*job, *m)) continue;
+      while (job->pending > 0 && job->need.Fits(FreeOf(*m)) &&
+             ZoneAllowed(*job, m->zone, none) && WithinLimit(*job)) {
+        Place(job, m.get(), MakeAttempt(c_.term_, c_.next_attempt_++));
+      }
+    }
+  }
+
+  // A production service should start at once, and no machine boots that quickly: some room is kept
+  // that is free or holds work that may be stopped.
+  void KeepSpareRoom() {
+    c_.spare_room_.clear();
+    c_.spare_surplus_ = 0;
+    const Job* latest = nullptr;
+    uint32_t running = 0;
+    double boot_s = 0;
+    for (const auto& [name, type] : c_.types_) boot_s = std::max(boot_s, type.boot_s);
+    double recent = 0;
+    for (const auto& [key, job] : c_.active_jobs_) {
+      if (job->spec.kind != wire::JobKind::kService || !job->Live() ||
+          job->spec.priority != wire::Priority::kProduction) {
+        continue;
+      }
+      latest = job;  // active jobs are in the order of their acceptance
+      running += job->spec.tasks;
+      if (now_ - job->accepted_at < kSpareWindowBoots * boot_s) recent += job->spec.tasks;
+    }
+    if (latest == nullptr) return;
+    const double arriving = recent / kSpareWindowBoots * kSpareBoots;
+    const int wanted =
+        1 + static_cast<int>(std::min(arriving, kSpareShare * static_cast<double>(running)));
+    wire::JobSpec any = latest->spec;
+    any.zone.reset();
+    any.one_zone = any.spread = false;
+    Job probe;
+    probe.spec = any;
+    probe.need = latest->need;
+    int room = 0;
+    for (const auto& [id, m] : c_.machines_) {
+      if (!MachineAllowed(probe, *m)) continue;
+      Resources free = FreeOf(*m);
+      for (const auto& [key, a] : m->attempts) {
+        if (a->holds_room && a->job->spec.kind == wire::JobKind::kArray &&
+            a->job->spec.priority > probe.spec.priority) {
+          free += a->job->need;
+        }
+      }
+      const int fit = static_cast<int>(FitCount(probe.need, free, 1000));
+      c_.spare_room_[id] = fit;
+      room += fit;
+    }
+    c_.spare_surplus_ = room - wanted;
+    if (c_.spare_surplus_ >= 0) return;
+    std::map<std::string, int> planned;
+    const auto missing = static_cast<uint32_t>(-c_.spare_surplus_);
+    const uint32_t left = UseUpcoming(probe, missing, &planned);
+    if (left > 0) Rent(probe, left, &planned);
+  }
+
   void Place(Job* job, Machine* m, uint64_t number) {
     uint32_t index = job->first_pending;
     while (job->tasks[index] != TaskState::kPending) ++index;
@@ -441,6 +509,11 @@
   SchedulePass(this, now).Run();
 }
 
+bool Cluster::NeededAsSpareRoom(const Machine& m) const {
+  const auto it = spare_room_.find(m.id);
+  return it != spare_room_.end() && it->second > spare_surplus_;
+}
+
 void Cluster::SendRents(double now, Effects* effects) {
   for (auto& [name, rent] : rents_) {
     if (!rent->stored || rent->answered || rent->sending || rent->retry_at > now) continue;
@@ -476,8 +549,12 @@
     // Machines the list alone knows come up by themselves or are given up like the rest; without a
     // type nothing can ever be placed on them.
     if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && m->attempts.empty() &&
-        now - m->idle_since >= tuning_.idle_s &&
+        now - m->idle_since >= tuning_.idle_s && !NeededAsSpareRoom(*m) &&
         now - m->rented_at >= wire::kMinChargeS - settings_.report_s) {
+      if (const auto it = spare_room_.find(id); it != spare_room_.end()) {
+        spare_surplus_ -= it->second;
+        spare_room_.erase(it);
+      }
       m->retiring = true;
       m->deleting = true;
     }
