--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -14,6 +14,10 @@
 // A done set's text takes at most this many bytes a task, every second one being done ("9998,").
 constexpr uint32_t kDoneBytesPerTask = 4;
 
+// Retry intervals for which a refused offer is left alone, at first and at most.
+constexpr double kRefusalRetries = 4;
+constexpr double kMostRefusalRetries = 16;
+
 bool StartsWith(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
@@ -509,10 +513,17 @@
     rent->retry_at = now + tuning_.retry_s / 5;
     return;
   }
+  const std::string offer = OfferKey(rent->type, rent->zone, rent->spot);
   if (outcome == RentOutcome::kNoCapacity ||
       machines.size() < static_cast<size_t>(rent->count)) {
-    refused_until_[rent->type + "|" + rent->zone + (rent->spot ? "|spot" : "|ordinary")] =
-        now + tuning_.idle_s / 2;
+    // Asking again costs rent tokens that others wait for.
+    Refusal& refusal = refusals_[offer];
+    refusal.pause_s = refusal.pause_s == 0 ? kRefusalRetries * tuning_.retry_s
+                                           : std::min(2 * refusal.pause_s,
+                                                      kMostRefusalRetries * tuning_.retry_s);
+    refusal.until = now + refusal.pause_s;
+  } else {
+    refusals_.erase(offer);
   }
   rent->answered = true;
   for (const std::string& id : machines) {
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -62,6 +62,10 @@
   }
 };
 
+inline std::string OfferKey(const std::string& type, const std::string& zone, bool spot) {
+  return type + "|" + zone + (spot ? "|spot" : "|ordinary");
+}
+
 struct Machine;
 struct Job;
 
@@ -327,7 +331,12 @@
   std::unordered_set<std::string> deleted_;  // machines whose deletion was answered
   std::map<std::string, wire::MachineType> types_;
   std::map<std::string, Resources> team_usage_;
-  std::map<std::string, double> refused_until_;  // by type, zone and kind
+  // Offers (type, zone and kind) that the cloud had too few of are left alone, for longer each time.
+  struct Refusal {
+    double until = 0;
+    double pause_s = 0;
+  };
+  std::map<std::string, Refusal> refusals_;
   TokenBucket rent_tokens_;
 
   std::map<std::string, Importance> dirty_records_;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -20,6 +20,11 @@
 constexpr double kSpareWindowBoots = 3;
 constexpr double kSpareShare = 0.1;
 
+// Of the time that an array's objectives leave it before it must have a machine, the share that it
+// waits for room on spot machines and on those that exist; estimates are often wrong by half.
+constexpr double kPatienceShare = 0.7;
+constexpr double kEstimateSlack = 1.5;
+
 }  // namespace
 
 // One pass over the pending jobs: existing machines first, then room that is on its way, then rents.
@@ -28,7 +33,8 @@
   SchedulePass(Cluster* cluster, double now) : c_(*cluster), now_(now) {}
 
   void Run() {
-    for (Job* job : Order()) PlaceJob(job);
+    order_ = Order();
+    for (next_ = 0; next_ < order_.size();) PlaceJob(order_[next_++]);
     KeepSpareRoom();
   }
 
@@ -375,9 +381,37 @@
     double ready_s = 0;  // boot and image
   };
 
-  std::vector<Offer> Offers(const Job& job, uint32_t left,
+  // An array that its objectives leave time for does not rent at the ordinary price yet.
+  bool Patient(const Job& job) const {
+    if (job.spec.kind != wire::JobKind::kArray ||
+        job.spec.priority <= wire::Priority::kHigh) {
+      return false;
+    }
+    double ready_s = std::numeric_limits<double>::max();
+    for (const auto& [name, type] : c_.types_) {
+      if (!c_.FitsType(job.spec, type)) continue;
+      ready_s = std::min(ready_s, ReadyTime(job, type));
+    }
+    const double run_s = kEstimateSlack * job.spec.estimate_s;
+    double start_by = std::numeric_limits<double>::max();
+    if (job.spec.deadline_s) start_by = *job.spec.deadline_s - run_s;
+    for (const config::Objective& objective : c_.settings_.objectives) {
+      if (objective.job_class != job.spec.job_class || objective.within_s <= 0) continue;
+      if (objective.kind == "wait") start_by = std::min(start_by, objective.within_s);
+      if (objective.kind == "finished") start_by = std::min(start_by, objective.within_s - run_s);
+    }
+    if (start_by == std::numeric_limits<double>::max()) return false;
+    return now_ - job.accepted_at < kPatienceShare * (start_by - ready_s);
+  }
+
+  static double ReadyTime(const Job& job, const wire::MachineType& type) {
+    return type.boot_s + (type.fetch_gb_per_s > 0 ? job.spec.image_gb / type.fetch_gb_per_s : 0);
+  }
+
+  std::vector<Offer> Offers(const Job& job, uint32_t left, uint32_t behind,
                             const std::map<std::string, int>& planned) const {
     std::vector<Offer> offers;
+    const bool patient = Patient(job);
     for (const auto& [name, type] : c_.types_) {
       if (!c_.FitsType(job.spec, type)) continue;
       for (const std::string& zone : type.zones) {
@@ -395,14 +429,13 @@
         if (tasks == 0) continue;
         for (const bool spot : {true, false}) {
           if (spot && !job.spec.spot) continue;
+          if (!spot && patient) continue;
           if (Refused(name, zone, spot)) continue;
           Offer offer{&type, zone, spot};
           offer.tasks = tasks;
           offer.fit =
-              FitCount(job.need, {type.cpus, type.gpus, type.memory_gb}, std::min(tasks, 1000U));
-          offer.ready_s = type.boot_s + (type.fetch_gb_per_s > 0
-                                             ? job.spec.image_gb / type.fetch_gb_per_s
-                                             : 0);
+              FitCount(job.need, {type.cpus, type.gpus, type.memory_gb}, std::min(tasks + behind, 1000U));
+          offer.ready_s = ReadyTime(job, type);
           // Services stay; their machines pay off over an idle machine's life at the least.
           const double stay = job.spec.kind == wire::JobKind::kService
                                   ? 10 * c_.tuning_.idle_s
@@ -417,9 +450,8 @@
   }
 
   bool Refused(const std::string& type, const std::string& zone, bool spot) const {
-    const auto it =
-        c_.refused_until_.find(type + "|" + zone + (spot ? "|spot" : "|ordinary"));
-    return it != c_.refused_until_.end() && it->second > now_;
+    const auto it = c_.refusals_.find(OfferKey(type, zone, spot));
+    return it != c_.refusals_.end() && it->second.until > now_;
   }
 
   size_t MachinesIn(const std::string& zone) const {
@@ -471,13 +503,32 @@
     return best;
   }
 
+  // Tasks of the jobs behind this one that are like its own: where it found no room they won't
+  // either. They are rented for together, in few requests and machines of the right size.
+  uint32_t SimilarBehind(const Job& job) const {
+    uint32_t tasks = 0;
+    if (job.spec.one_zone) return 0;
+    for (size_t i = next_; i < order_.size(); ++i) {
+      const Job& other = *order_[i];
+      if (other.spec.kind == job.spec.kind && other.spec.priority == job.spec.priority &&
+          other.spec.cpus == job.spec.cpus && other.spec.gpus == job.spec.gpus &&
+          other.spec.memory_gb == job.spec.memory_gb && other.spec.spot == job.spec.spot &&
+          other.spec.types == job.spec.types && other.spec.zone == job.spec.zone &&
+          !other.spec.one_zone && Patient(other) == Patient(job)) {
+        tasks += other.pending;
+      }
+    }
+    return tasks;
+  }
+
   void Rent(const Job& job, uint32_t left, std::map<std::string, int>* planned) {
+    const uint32_t behind = SimilarBehind(job);
     while (left > 0) {
-      const std::vector<Offer> offers = Offers(job, left, *planned);
+      const std::vector<Offer> offers = Offers(job, left, behind, *planned);
       const Offer* offer = Choose(job, offers);
       if (offer == nullptr || offer->fit == 0) return;
       if (!c_.rent_tokens_.Take(now_, 1, Importance::kNormal)) return;
-      const uint32_t tasks = std::min(left, offer->tasks);
+      const uint32_t tasks = std::min(left, offer->tasks) + behind;
       const int count = static_cast<int>(
           std::min<uint32_t>((tasks + offer->fit - 1) / offer->fit, wire::kMaxRentCount));
       auto rent = std::make_unique<RentRecord>();
@@ -498,6 +549,8 @@
 
   Cluster& c_;
   const double now_;
+  std::vector<Job*> order_;
+  size_t next_ = 0;  // in order_, behind the job that is being placed
   std::optional<std::string> one_zone_;
   std::map<std::string, Resources> claimed_;
   std::vector<Upcoming> upcoming_;
