--- a/src/config/operator_settings.h
+++ b/src/config/operator_settings.h
@@ -24,7 +24,7 @@
   double boot_give_up = 4;
   double boot_late = 1.7;
   // The leader's lease, as a share of the workers' cancel_s.
-  double leader_lease_share = 0.08;
+  double leader_lease_share = 0.04;
 };
 
 bool ParseOperatorSettings(const std::string& xml_text, OperatorSettings* out, std::string* error);
