Arrays that are due stop best-effort work that can save

Cause: opname finished within 100 s was nptc's least-served aim while argiefveeg met its own with room to spare. Ruled out: stopping without saving, which loses work.

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -150,7 +150,9 @@
     if (job->pending == 0 || !WithinLimit(*job)) return;
     uint32_t left = job->pending;
     std::map<std::string, int> planned;
-    if (job->spec.priority <= wire::Priority::kHigh) left = Preempt(job, left, &planned);
+    if (job->spec.priority <= wire::Priority::kHigh || (Pressing(*job) && !Patient(*job))) {
+      left = Preempt(job, left, &planned);
+    }
     left = UseUpcoming(*job, left, &planned);
     if (left > 0) Rent(*job, left, &planned);
   }
@@ -284,6 +286,8 @@
 
   // Stops lesser work to make room. Returns how many tasks still have no room coming.
   uint32_t Preempt(Job* job, uint32_t left, std::map<std::string, int>* planned) {
+    // Production does not wait for others to save; the rest only takes what can save.
+    const bool urgent = job->spec.priority <= wire::Priority::kHigh;
     for (auto& [id, m] : c_.machines_) {
       if (left == 0) break;
       if (!MachineAllowed(*job, *m) || !ZoneAllowed(*job, m->zone, *planned)) continue;
@@ -295,7 +299,8 @@
         if (a->stop) {
           coming += a->job->need;
         } else if (a->job->spec.priority > job->spec.priority &&
-                   a->job->spec.kind == wire::JobKind::kArray) {
+                   a->job->spec.kind == wire::JobKind::kArray &&
+                   (urgent || a->job->spec.checkpoint_s > 0)) {
           victims.push_back(a.get());
         }
       }
@@ -316,7 +321,7 @@
           chosen.push_back(victims[look++]);
         }
         if (!job->need.Fits(room)) break;
-        for (Attempt* a : chosen) c_.StopAttempt(a, 0, now_);
+        for (Attempt* a : chosen) c_.StopAttempt(a, urgent ? 0 : a->job->spec.save_s, now_);
         next = look;
         coming = room;
         coming -= job->need;
@@ -381,6 +386,17 @@
     double ready_s = 0;  // boot and image
   };
 
+  // An array that is due at some time.
+  bool Pressing(const Job& job) const {
+    if (job.spec.kind != wire::JobKind::kArray) return false;
+    return job.spec.deadline_s ||
+           std::any_of(c_.settings_.objectives.begin(), c_.settings_.objectives.end(),
+                       [&](const config::Objective& objective) {
+                         return objective.job_class == job.spec.job_class &&
+                                objective.kind == "finished";
+                       });
+  }
+
   // An array that its objectives leave time for does not rent at the ordinary price yet.
   bool Patient(const Job& job) const {
     if (job.spec.kind != wire::JobKind::kArray ||
