Services start where their image is, or where it comes quickly

Cause: feedstream's waits over 8 s were image fetches on smali (0.2 GB/s). Ruled out: missing room (spare room was there).

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -144,8 +144,19 @@
     if (job->spec.kind == wire::JobKind::kGang) return PlaceGang(job);
     // Services stay for long: they go where services are, so that machines which only arrays keep
     // busy can go back when those end.
-    const bool service = job->spec.kind == wire::JobKind::kService;
-    if (service) PlaceOn(job, [](const Machine& m) { return m.services > 0; });
+    // And they start soonest where their image is, or comes quickly.
+    if (job->spec.kind == wire::JobKind::kService) {
+      const double soon_s = StartWithin(*job) / 2;
+      const auto has_image = [&](const Machine& m) { return m.images.contains(job->spec.image); };
+      const auto soon = [&](const Machine& m) {
+        return job->spec.image_gb <= soon_s * m.type->fetch_gb_per_s;
+      };
+      PlaceOn(job, [&](const Machine& m) { return m.services > 0 && has_image(m); });
+      PlaceOn(job, has_image);
+      PlaceOn(job, [&](const Machine& m) { return m.services > 0 && soon(m); });
+      PlaceOn(job, soon);
+      PlaceOn(job, [](const Machine& m) { return m.services > 0; });
+    }
     PlaceOn(job, [](const Machine&) { return true; });
     if (job->pending == 0 || !WithinLimit(*job)) return;
     uint32_t left = job->pending;
@@ -194,12 +205,22 @@
     if (left > 0) Rent(*job, left, &planned);
   }
 
+  // How soon the job's class should start; without an objective, a report period.
+  double StartWithin(const Job& job) const {
+    for (const config::Objective& objective : c_.settings_.objectives) {
+      if (objective.job_class == job.spec.job_class && objective.kind == "wait") {
+        return objective.within_s;
+      }
+    }
+    return c_.settings_.report_s;
+  }
+
   template <typename F>
   void PlaceOn(Job* job, F&& wanted) {
     const std::map<std::string, int> none;
     for (auto& [id, m] : c_.machines_) {
       if (job->pending == 0) return;
-      if (!wanted(*m) || !MachineAllowed(*job, *m)) continue;
+      if (!MachineAllowed(*job, *m) || !wanted(*m)) continue;
       while (job->pending > 0 && job->need.Fits(FreeOf(*m)) &&
              ZoneAllowed(*job, m->zone, none) && WithinLimit(*job)) {
         Place(job, m.get(), MakeAttempt(c_.term_, c_.next_attempt_++));
