--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -306,7 +306,6 @@
   void PlaceAndRent(double now);
   void SendRents(double now, Effects* effects);
   bool NeededAsSpareRoom(const Machine& m) const;
-  void TakeFromSpareRoom(const Machine& m);
 
   const config::Settings settings_;
   const config::OperatorSettings tuning_;
@@ -351,8 +350,6 @@
   // besides what it must keep, and by how many that is more than is wanted.
   std::map<std::string, int> spare_room_;
   int spare_surplus_ = 0;
-  int spare_wanted_ = 0;
-  double next_move_at_ = 0;  // when a machine's services may be moved together with others again
   bool settled_ = false;
   bool dirty_ = true;
   double next_wake_ = 0;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -20,9 +20,6 @@
 constexpr double kSpareWindowBoots = 3;
 constexpr double kSpareShare = 0.1;
 
-// A machine of whose room no more than this is used is cleared if its services fit elsewhere.
-constexpr double kMostlyEmpty = 0.26;
-
 // Of the time that an array's objectives leave it before it must have a machine, the share that it
 // waits for room on spot machines and on those that exist; estimates are often wrong by half.
 constexpr double kPatienceShare = 0.7;
@@ -39,7 +36,6 @@
     order_ = Order();
     for (next_ = 0; next_ < order_.size();) PlaceJob(order_[next_++]);
     KeepSpareRoom();
-    GatherServices();
   }
 
  private:
@@ -277,7 +273,6 @@
       c_.spare_room_[id] = fit;
       room += fit;
     }
-    c_.spare_wanted_ = wanted;
     c_.spare_surplus_ = room - wanted;
     if (c_.spare_surplus_ >= 0) return;
     std::map<std::string, int> planned;
@@ -286,68 +281,6 @@
     if (left > 0) Rent(probe, left, &planned);
   }
 
-  // When services end, those that stay are left alone on many machines. The machine with the fewest
-  // is cleared if they all have a place beside others at once, one machine at a time.
-  void GatherServices() {
-    if (!c_.settled_ || now_ < c_.next_move_at_) return;
-    Machine* best = nullptr;
-    for (auto& [id, m] : c_.machines_) {
-      if (m->services == 0 || !c_.MachineUsable(*m) || now_ - m->last_heard > 2 * c_.settings_.report_s) {
-        continue;
-      }
-      if (best != nullptr && m->services >= best->services) continue;
-      const bool only_services =
-          std::all_of(m->attempts.begin(), m->attempts.end(), [&](const auto& entry) {
-            const Attempt& a = *entry.second;
-            return a.phase == AttemptPhase::kRunning && !a.stop && a.job->Live() &&
-                   a.job->spec.kind == wire::JobKind::kService &&
-                   now_ - a.running_since > 2 * c_.tuning_.idle_s;
-          });
-      if (!only_services) continue;
-      const auto spare = c_.spare_room_.find(id);
-      const int free = spare == c_.spare_room_.end() ? 0 : spare->second;
-      // A move costs its service a few seconds: it must be worth a machine that is mostly empty, and
-      // plenty of spare room must be left.
-      if (m->used.cpus > kMostlyEmpty * m->capacity.cpus ||
-          m->used.memory_gb > kMostlyEmpty * m->capacity.memory_gb) {
-        continue;
-      }
-      if (c_.spare_surplus_ - c_.spare_wanted_ < m->services + free || !HavePlaceElsewhere(*m)) {
-        continue;
-      }
-      best = m.get();
-    }
-    if (best == nullptr) return;
-    c_.next_move_at_ = now_ + c_.tuning_.idle_s;
-    c_.TakeFromSpareRoom(*best);
-    c_.Retire(best, now_);
-  }
-
-  bool HavePlaceElsewhere(const Machine& from) const {
-    std::map<std::string, Resources> taken;
-    for (const auto& [key, a] : from.attempts) {
-      bool found = false;
-      for (const auto& [id, m] : c_.machines_) {
-        if (id == from.id || m->services == 0 || m->services < from.services ||
-            !MachineAllowed(*a->job, *m) || !m->images.contains(a->job->spec.image)) {
-          continue;
-        }
-        if (m->zone != from.zone && (a->job->spec.zone || a->job->spec.one_zone ||
-                                     (a->job->spec.spread && a->job->spec.tasks > 1))) {
-          continue;
-        }
-        Resources need = a->job->need;
-        if (const auto it = taken.find(id); it != taken.end()) need += it->second;
-        if (!need.Fits(FreeOf(*m))) continue;
-        taken[id] += a->job->need;
-        found = true;
-        break;
-      }
-      if (!found) return false;
-    }
-    return true;
-  }
-
   void Place(Job* job, Machine* m, uint64_t number) {
     uint32_t index = job->first_pending;
     while (job->tasks[index] != TaskState::kPending) ++index;
@@ -673,13 +606,6 @@
   return it != spare_room_.end() && it->second > spare_surplus_;
 }
 
-void Cluster::TakeFromSpareRoom(const Machine& m) {
-  const auto it = spare_room_.find(m.id);
-  if (it == spare_room_.end()) return;
-  spare_surplus_ -= it->second;
-  spare_room_.erase(it);
-}
-
 void Cluster::SendRents(double now, Effects* effects) {
   for (auto& [name, rent] : rents_) {
     if (!rent->stored || rent->answered || rent->sending || rent->retry_at > now) continue;
@@ -717,7 +643,10 @@
     if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && m->attempts.empty() &&
         now - m->idle_since >= tuning_.idle_s && !NeededAsSpareRoom(*m) &&
         now - m->rented_at >= wire::kMinChargeS - settings_.report_s) {
-      TakeFromSpareRoom(*m);
+      if (const auto it = spare_room_.find(id); it != spare_room_.end()) {
+        spare_surplus_ -= it->second;
+        spare_room_.erase(it);
+      }
       m->retiring = true;
       m->deleting = true;
     }
