--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -118,7 +118,9 @@
   rent->count = value.value("count", 0);
   rent->adopted = value.value("adopted", false);
   rent->stored = true;
-  rent->asked_at = started_at_;
+  rent->asked_at =
+      std::min(started_at_, static_cast<double>(value.value("asked_ms", int64_t{0})) / 1000 -
+                                wall_offset_);
   const auto machines = value.find("machines");
   if (machines != value.end() && machines->is_object()) {
     rent->answered = true;
@@ -406,12 +408,11 @@
   m->zone = record->zone;
   m->spot = record->spot;
   m->record = record->name;
-  m->rented_at = now;
+  m->rented_at = record->asked_at;
   m->idle_since = now;
   if (const auto it = types_.find(m->type_name); it != types_.end()) {
     m->type = &it->second;
     m->capacity = {m->type->cpus, m->type->gpus, m->type->memory_gb};
-    m->ready_at = now + m->type->boot_s;
   }
   record->machines.emplace(id, false);
   machines_[id] = std::move(owned);
@@ -435,6 +436,7 @@
   record->count = 1;
   record->answered = true;
   record->adopted = true;
+  record->asked_at = now;
   RentRecord* raw = record.get();
   rents_[raw->name] = std::move(record);
   Machine* m = AddMachine(id, raw, now);
@@ -496,7 +498,6 @@
     if (it == types_.end()) continue;
     m->type = &it->second;
     m->capacity = {m->type->cpus, m->type->gpus, m->type->memory_gb};
-    m->ready_at = m->rented_at + m->type->boot_s;
   }
   dirty_ = true;
 }
@@ -531,8 +532,7 @@
     if (const auto known = machines_.find(id); known != machines_.end()) {
       continue;  // adopted from a report already
     }
-    Machine* m = AddMachine(id, rent, now);
-    m->rented_at = rent->asked_at > 0 ? rent->asked_at : now;
+    AddMachine(id, rent, now);
   }
   MarkDirty(std::string(kMachinePrefix) + name, Importance::kNormal);
 }
@@ -641,7 +641,12 @@
 }
 
 Json Cluster::RenderRent(const std::string& key, const RentRecord& rent) {
-  Json json{{"type", rent.type}, {"zone", rent.zone}, {"spot", rent.spot}, {"count", rent.count}};
+  const auto asked_ms = static_cast<int64_t>(std::llround((rent.asked_at + wall_offset_) * 1000));
+  Json json{{"type", rent.type},
+            {"zone", rent.zone},
+            {"spot", rent.spot},
+            {"count", rent.count},
+            {"asked_ms", asked_ms}};
   if (rent.adopted) json["adopted"] = true;
   if (!rent.answered) return json;
   Json names = Json::object();
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -140,7 +140,6 @@
   uint64_t seq = 0;
   double last_heard = 0;
   double rented_at = 0;
-  double ready_at = 0;
   std::optional<double> notice_at;  // when the cloud takes it away
   bool retiring = false;            // no placements any more
   bool deleting = false;            // deletion asked for
@@ -168,7 +167,7 @@
   bool stored = false;  // named durably: the request may be sent
   bool sending = false;
   double retry_at = 0;
-  double asked_at = 0;
+  double asked_at = 0;  // on this node's steady clock; the record holds the time of day
   std::map<std::string, bool> machines;  // name -> may hold tasks
 };
 
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -20,6 +20,9 @@
 constexpr double kSpareWindowBoots = 3;
 constexpr double kSpareShare = 0.1;
 
+// Of the workers' lease, the silence after which a machine that a new leader never heard is replaced.
+constexpr double kSilentShare = 0.4;
+
 // Of the time that an array's objectives leave it before it must have a machine, the share that it
 // waits for room on spot machines and on those that exist; estimates are often wrong by half.
 constexpr double kPatienceShare = 0.7;
@@ -576,6 +579,7 @@
       rent->zone = offer->zone;
       rent->spot = offer->spot;
       rent->count = count;
+      rent->asked_at = now_;
       // Named durably before the request: whoever leads next can ask for its machines again.
       c_.MarkDirty(std::string(kMachinePrefix) + rent->name,
                    job.spec.priority <= wire::Priority::kHigh ? Importance::kUser
@@ -610,12 +614,31 @@
   for (auto& [name, rent] : rents_) {
     if (!rent->stored || rent->answered || rent->sending || rent->retry_at > now) continue;
     rent->sending = true;
-    if (rent->asked_at == 0) rent->asked_at = now;
     effects->rent.push_back({rent->name, rent->type, rent->zone, rent->spot, rent->count});
   }
 }
 
 void Cluster::CheckMachines(double now, Effects* effects) {
+  // A worker whose answer got lost is silent for a report period, its patience and a second. After a
+  // takeover nobody knows what is on a machine that is silent for longer. If services are missing
+  // they may be there, and should not wait until its lease has ended for every earlier leader: a
+  // deletion proves sooner that they are gone. When many are silent the trouble is on our side.
+  const double silent_s = std::max(kSilentShare * settings_.lease_s,
+                                   2 * settings_.report_s + wire::kReportPatienceS + 1);
+  size_t up = 0;
+  size_t silent = 0;
+  for (const auto& [id, m] : machines_) {
+    if (m->stage != MachineStage::kUp || m->deleting) continue;
+    ++up;
+    if (now - std::max(m->last_heard, started_at_) > silent_s / 2) ++silent;
+  }
+  const bool few_silent = silent <= 1 + up / 10;
+  const bool services_missing =
+      !settled_ && std::any_of(active_jobs_.begin(), active_jobs_.end(), [](const auto& entry) {
+        const Job& job = *entry.second;
+        return job.spec.kind == wire::JobKind::kService && job.inherited && job.Live() &&
+               job.pending > 0;
+      });
   const double lease = settings_.lease_s * (1 + 4 * kDrift) + settings_.report_s / 4;
   for (auto& [id, m] : machines_) {
     if (m->stage == MachineStage::kUp && !m->session_gone) {
@@ -633,6 +656,11 @@
         dirty_ = true;
       }
     }
+    if (few_silent && services_missing && m->stage == MachineStage::kUp && !m->acknowledged &&
+        !m->deleting && now - std::max(m->last_heard, started_at_) > silent_s) {
+      m->retiring = true;
+      m->deleting = true;
+    }
     if (m->stage == MachineStage::kBooting && !m->deleting && m->type != nullptr &&
         now - m->rented_at > tuning_.boot_give_up * m->type->boot_s) {
       m->retiring = true;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -191,6 +191,42 @@
   EXPECT_TRUE(cluster_->settled());
 }
 
+// Found on days with a leader change: idle machines were kept for another minute, and late boots
+// began anew, because the new leader took its own start for the time of the rent.
+TEST_F(CoreTest, RentTimeOutlivesTheLeader) {
+  Submit(testing::MakeJob("req-1"));
+  Store();
+  cluster_->Schedule(now_);
+  Store();
+  const Effects asked = cluster_->Schedule(now_);
+  ASSERT_EQ(asked.rent.size(), 1U);
+  cluster_->OnRented(asked.rent[0].name, Cluster::RentOutcome::kRented, {"i-1"}, now_);
+  Store();
+  const double rented_at = cluster_->machines().at("i-1")->rented_at;
+  now_ += 30;
+  Restart();
+  EXPECT_NEAR(cluster_->machines().at("i-1")->rented_at, rented_at, 0.01);
+}
+
+// A machine that died while leaders changed must not hold its services up for the whole of
+// KeepAliveLimit and lease.
+TEST_F(CoreTest, MissingServicesAreFreedByDeletingTheSilentMachine) {
+  std::map<std::string, wire::ReportedTask> tasks;
+  wire::JobSpec spec = testing::MakeJob("req-1");
+  spec.kind = wire::JobKind::kService;
+  spec.priority = wire::Priority::kProduction;
+  Submit(spec);
+  Store();
+  Ready("i-1", &tasks);
+  ASSERT_EQ(tasks.size(), 1U);
+  Restart();
+  now_ += settings_.lease_s;
+  EXPECT_EQ(cluster_->Schedule(now_).remove, std::vector<std::string>{"i-1"});
+  EXPECT_FALSE(cluster_->settled());
+  cluster_->OnDeleted({"i-1"}, true, now_);
+  EXPECT_TRUE(cluster_->settled());
+}
+
 TEST_F(CoreTest, FaultyMachineIsLeftAndFaultyJobCostsNoFleet) {
   std::map<std::string, wire::ReportedTask> tasks;
   Submit(testing::MakeJob("req-1"));
