--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -166,7 +166,7 @@
     if (job->pending == 0 || !WithinLimit(*job)) return;
     uint32_t left = job->pending;
     std::map<std::string, int> planned;
-    if (job->spec.priority <= wire::Priority::kHigh || (Pressing(*job) && !Patient(*job))) {
+    if (job->spec.priority <= wire::Priority::kHigh || Pressing(*job)) {
       left = Preempt(job, left, &planned);
     }
     left = UseUpcoming(*job, left, &planned);
