--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -115,8 +115,7 @@
   std::set<std::string> failed_on;  // machines on which a task ended with an error
   int failures = 0;
   double not_before = 0;
-  uint32_t runs = 0;  // observed, for the mean run time
-  double runs_s = 0;
+  double retry_at = 0;
 
   bool Live() const { return final_state == FinalState::kNone && !cancel_wanted; }
   bool AllDone() const { return done == spec.tasks; }
@@ -148,7 +147,6 @@
   double delete_retry_at = 0;
   double idle_since = 0;
   double no_room_until = 0;
-  double slow_until = 0;  // gets no arrays until then
   std::set<std::string> failed_jobs;
   Resources capacity;
   Resources used;
@@ -304,7 +302,6 @@
 
   // scheduler.cc
   void CheckMachines(double now, Effects* effects);
-  void CheckSpeed(double now);
   void PlaceAndRent(double now);
   void SendRents(double now, Effects* effects);
   bool NeededAsSpareRoom(const Machine& m) const;
@@ -352,7 +349,6 @@
   // besides what it must keep, and by how many that is more than is wanted.
   std::map<std::string, int> spare_room_;
   int spare_surplus_ = 0;
-  double next_speed_check_ = 0;
   bool settled_ = false;
   bool dirty_ = true;
   double next_wake_ = 0;
--- a/src/core/hello.cc
+++ b/src/core/hello.cc
@@ -184,10 +184,6 @@
   if (m->attempts.size() == 1) m->idle_since = now;
   if (cause == wire::EndCause::kDone) {
     m->failed_jobs.clear();
-    if (a->running_since > 0) {
-      ++job->runs;
-      job->runs_s += now - a->running_since;
-    }
     if (job->Live()) {
       const auto it = job->active.find(a->index);
       if (it != job->active.end() && it->second != a) StopAttempt(it->second, 0, now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -20,11 +20,6 @@
 constexpr double kSpareWindowBoots = 3;
 constexpr double kSpareShare = 0.1;
 
-// A task is late at this many times its expected run time; estimates are often wrong by half. A slow
-// machine is left alone by arrays for so many idle times, in which it mostly goes back.
-constexpr double kSlow = 2.0;
-constexpr double kSlowPauses = 4;
-
 // Of the workers' lease, the silence after which a machine that a new leader never heard is replaced.
 constexpr double kSilentShare = 0.4;
 
@@ -126,7 +121,6 @@
 
   bool MachineAllowed(const Job& job, const Machine& m) const {
     if (!c_.MachineUsable(m) || m.no_room_until > now_) return false;
-    if (m.slow_until > now_ && job.spec.kind != wire::JobKind::kService) return false;
     if (m.spot && !job.spec.spot) return false;
     if (!TypeAllowed(job, m.type_name)) return false;
     return !job.failed_on.contains(m.id) || job.failed_on.size() >= 3;
@@ -616,37 +610,6 @@
   return it != spare_room_.end() && it->second > spare_surplus_;
 }
 
-// A machine on which several tasks, and most, run far longer than their job's tasks do elsewhere is
-// slow. What runs there is done sooner if it starts again somewhere else.
-void Cluster::CheckSpeed(double now) {
-  if (now < next_speed_check_) return;
-  next_speed_check_ = now + settings_.report_s;
-  for (auto& [id, m] : machines_) {
-    if (!MachineUsable(*m) || m->slow_until > now) continue;
-    size_t running = 0;
-    size_t late = 0;
-    for (const auto& [key, a] : m->attempts) {
-      const Job& job = *a->job;
-      if (a->phase != AttemptPhase::kRunning || a->stop ||
-          job.spec.kind != wire::JobKind::kArray) {
-        continue;
-      }
-      ++running;
-      const double mean_s = job.runs == 0 ? 0 : job.runs_s / job.runs;
-      const double expected_s = std::max(job.spec.estimate_s, mean_s);
-      if (now - a->running_since > kSlow * expected_s + settings_.report_s) ++late;
-    }
-    if (late < 2 || 2 * late < running) continue;
-    m->slow_until = now + kSlowPauses * tuning_.idle_s;
-    for (auto& [key, a] : m->attempts) {
-      if (a->job->spec.kind == wire::JobKind::kArray) {
-        StopAttempt(a.get(), a->job->spec.save_s, now);
-      }
-    }
-    dirty_ = true;
-  }
-}
-
 void Cluster::SendRents(double now, Effects* effects) {
   for (auto& [name, rent] : rents_) {
     if (!rent->stored || rent->answered || rent->sending || rent->retry_at > now) continue;
@@ -739,7 +702,6 @@
   Effects effects;
   CheckMachines(now, &effects);
   CheckSettled(now);
-  CheckSpeed(now);
   PlaceAndRent(now);
   SendRents(now, &effects);
   next_wake_ = now + settings_.report_s / 2;
