--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -72,13 +72,11 @@
 void CloudClient::Delete(const std::vector<std::string>& machines,
                          std::function<void(bool gone)> done) {
   Call("POST", std::string(wire::kMachinesDeletePath), wire::DeleteBody(machines),
-       core::Importance::kNormal, [done = std::move(done)](const net::Response& response) {
-         done(response.status == 200);
-       });
+       core::Importance::kNormal,
+       [done = std::move(done)](const net::Response& response) { done(response.status == 200); });
 }
 
-void CloudClient::List(
-    std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done) {
+void CloudClient::List(std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done) {
   ListPage("", {}, std::move(done));
 }
 
@@ -87,8 +85,8 @@
     std::function<void(std::optional<std::vector<wire::ListedMachine>>)> done) {
   Call("GET", wire::MachineListPath(after, wire::kMaxMachinesPerPage), "",
        core::Importance::kBackground,
-       [this, so_far = std::move(so_far), done = std::move(done)](
-           const net::Response& response) mutable {
+       [this, so_far = std::move(so_far),
+        done = std::move(done)](const net::Response& response) mutable {
          if (response.status != 200) return done(std::nullopt);
          auto page = wire::ParseMachinePage(response.body);
          if (!page || (page->more && page->machines.empty())) {
--- a/src/config/operator_settings.h
+++ b/src/config/operator_settings.h
@@ -1,5 +1,5 @@
-// The operators' own settings (XML, optional): the figures that the design leaves open. Every figure
-// that belongs to the platform is a ratio to the platform's settings.
+// The operators' own settings (XML, optional): the figures that the design leaves open. Every
+// figure that belongs to the platform is a ratio to the platform's settings.
 #ifndef ZINCLEAD_CONFIG_OPERATOR_SETTINGS_H_
 #define ZINCLEAD_CONFIG_OPERATOR_SETTINGS_H_
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -1,11 +1,11 @@
 #include "config/settings.h"
 
 #include <arpa/inet.h>
+#include <toml++/toml.h>
 
 #include <cmath>
 #include <fstream>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace zinclead::config {
 namespace {
--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -62,8 +62,9 @@
     const std::string rest = key.substr(kDonePrefix.size());
     const size_t slash = rest.find('/');
     if (slash == std::string::npos || !value.is_string()) return false;
-    loaded_done_[rest.substr(0, slash)][static_cast<uint32_t>(
-        std::strtoul(rest.c_str() + slash + 1, nullptr, 10))] = value.get<std::string>();
+    loaded_done_[rest.substr(0, slash)]
+                [static_cast<uint32_t>(std::strtoul(rest.c_str() + slash + 1, nullptr, 10))] =
+                    value.get<std::string>();
     return true;
   }
   return true;  // another package's record
@@ -118,9 +119,8 @@
   rent->count = value.value("count", 0);
   rent->adopted = value.value("adopted", false);
   rent->stored = true;
-  rent->asked_at =
-      std::min(started_at_, static_cast<double>(value.value("asked_ms", int64_t{0})) / 1000 -
-                                wall_offset_);
+  rent->asked_at = std::min(
+      started_at_, static_cast<double>(value.value("asked_ms", int64_t{0})) / 1000 - wall_offset_);
   const auto machines = value.find("machines");
   if (machines != value.end() && machines->is_object()) {
     rent->answered = true;
@@ -254,8 +254,8 @@
 std::optional<Cluster::JobView> Cluster::View(const std::string& id) const {
   JobView view;
   if (const auto it = finished_.find(id); it != finished_.end()) {
-    view.phase = it->second.state == FinalState::kDone ? wire::JobPhase::kDone
-                                                       : wire::JobPhase::kCancelled;
+    view.phase =
+        it->second.state == FinalState::kDone ? wire::JobPhase::kDone : wire::JobPhase::kCancelled;
     view.done = it->second.state == FinalState::kDone ? it->second.tasks : 0;
     view.stored = true;
     view.final = true;
@@ -515,13 +515,12 @@
     return;
   }
   const std::string offer = OfferKey(rent->type, rent->zone, rent->spot);
-  if (outcome == RentOutcome::kNoCapacity ||
-      machines.size() < static_cast<size_t>(rent->count)) {
+  if (outcome == RentOutcome::kNoCapacity || machines.size() < static_cast<size_t>(rent->count)) {
     // Asking again costs rent tokens that others wait for.
     Refusal& refusal = refusals_[offer];
-    refusal.pause_s = refusal.pause_s == 0 ? kRefusalRetries * tuning_.retry_s
-                                           : std::min(2 * refusal.pause_s,
-                                                      kMostRefusalRetries * tuning_.retry_s);
+    refusal.pause_s = refusal.pause_s == 0
+                          ? kRefusalRetries * tuning_.retry_s
+                          : std::min(2 * refusal.pause_s, kMostRefusalRetries * tuning_.retry_s);
     refusal.until = now + refusal.pause_s;
   } else {
     refusals_.erase(offer);
@@ -684,8 +683,7 @@
     const size_t slash = rest.find('/');
     const Job* job = FindJob(rest.substr(0, slash));
     if (job == nullptr || job->final_state != FinalState::kNone) return std::nullopt;
-    const auto chunk =
-        static_cast<uint32_t>(std::strtoul(rest.c_str() + slash + 1, nullptr, 10));
+    const auto chunk = static_cast<uint32_t>(std::strtoul(rest.c_str() + slash + 1, nullptr, 10));
     const uint32_t first = chunk * job->done_chunk;
     auto& covered = rendered_done_[key];
     covered.clear();
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -84,7 +84,7 @@
   bool stop = false;        // a stop is wanted
   double grace_s = 0;
   bool holds_room = false;  // counted against machine, team and zone
-  double since = 0;      // when it was placed or first seen
+  double since = 0;         // when it was placed or first seen
   double running_since = 0;
   double stop_since = 0;
 };
@@ -111,7 +111,7 @@
   std::unordered_map<uint32_t, Attempt*> active;  // the attempt that counts for each active task
   std::map<std::string, int> zone_counts;         // tasks that may be on a machine, by zone
   uint32_t running = 0;
-  uint32_t attempts = 0;  // known on any machine, ended ones included
+  uint32_t attempts = 0;            // known on any machine, ended ones included
   std::set<std::string> failed_on;  // machines on which a task ended with an error
   int failures = 0;
   double not_before = 0;
@@ -330,7 +330,8 @@
   std::unordered_set<std::string> deleted_;  // machines whose deletion was answered
   std::map<std::string, wire::MachineType> types_;
   std::map<std::string, Resources> team_usage_;
-  // Offers (type, zone and kind) that the cloud had too few of are left alone, for longer each time.
+  // Offers (type, zone and kind) that the cloud had too few of are left alone, for longer each
+  // time.
   struct Refusal {
     double until = 0;
     double pause_s = 0;
--- a/src/core/hello.cc
+++ b/src/core/hello.cc
@@ -130,8 +130,8 @@
   return result;
 }
 
-void Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now,
-                           bool may_adopt, std::vector<wire::Command>* extra) {
+void Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
+                           std::vector<wire::Command>* extra) {
   Job* job = FindJob(listed.task.job);
   const bool ended = listed.phase == wire::TaskPhase::kEnded;
   if (job == nullptr || listed.task.index >= job->spec.tasks) {
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -14,13 +14,14 @@
 constexpr double kDrift = 0.0005;
 
 // Spare room for production services: what arrives while a machine boots, slow boots included, and
-// one more; never more than this share of what runs, so that a start with many jobs at once does not
-// count as a steady stream.
+// one more; never more than this share of what runs, so that a start with many jobs at once does
+// not count as a steady stream.
 constexpr double kSpareBoots = 1.2;
 constexpr double kSpareWindowBoots = 3;
 constexpr double kSpareShare = 0.1;
 
-// Of the workers' lease, the silence after which a machine that a new leader never heard is replaced.
+// Of the workers' lease, the silence after which a machine that a new leader never heard is
+// replaced.
 constexpr double kSilentShare = 0.4;
 
 // Of the time that an array's objectives leave it before it must have a machine, the share that it
@@ -30,7 +31,8 @@
 
 }  // namespace
 
-// One pass over the pending jobs: existing machines first, then room that is on its way, then rents.
+// One pass over the pending jobs: existing machines first, then room that is on its way, then
+// rents.
 class SchedulePass {
  public:
   SchedulePass(Cluster* cluster, double now) : c_(*cluster), now_(now) {}
@@ -87,8 +89,8 @@
   }
 
   bool TypeAllowed(const Job& job, const std::string& type) const {
-    return !job.spec.types || std::find(job.spec.types->begin(), job.spec.types->end(), type) !=
-                                  job.spec.types->end();
+    return !job.spec.types ||
+           std::find(job.spec.types->begin(), job.spec.types->end(), type) != job.spec.types->end();
   }
 
   // `planned`: tasks that this pass means to put on room that is on its way, by zone.
@@ -226,8 +228,8 @@
     for (auto& [id, m] : c_.machines_) {
       if (job->pending == 0) return;
       if (!MachineAllowed(*job, *m) || !wanted(*m)) continue;
-      while (job->pending > 0 && job->need.Fits(FreeOf(*m)) &&
-             ZoneAllowed(*job, m->zone, none) && WithinLimit(*job)) {
+      while (job->pending > 0 && job->need.Fits(FreeOf(*m)) && ZoneAllowed(*job, m->zone, none) &&
+             WithinLimit(*job)) {
         Place(job, m.get(), MakeAttempt(c_.term_, c_.next_attempt_++));
       }
     }
@@ -425,8 +427,7 @@
 
   // An array that its objectives leave time for does not rent at the ordinary price yet.
   bool Patient(const Job& job) const {
-    if (job.spec.kind != wire::JobKind::kArray ||
-        job.spec.priority <= wire::Priority::kHigh) {
+    if (job.spec.kind != wire::JobKind::kArray || job.spec.priority <= wire::Priority::kHigh) {
       return false;
     }
     double ready_s = std::numeric_limits<double>::max();
@@ -465,8 +466,8 @@
             here += it->second;
           }
           if (const auto it = planned.find(zone); it != planned.end()) here += it->second;
-          tasks = std::min(tasks, static_cast<uint32_t>(
-                                      std::max(0, static_cast<int>((job.spec.tasks + 1) / 2) - here)));
+          tasks = std::min(tasks, static_cast<uint32_t>(std::max(
+                                      0, static_cast<int>((job.spec.tasks + 1) / 2) - here)));
         }
         if (tasks == 0) continue;
         for (const bool spot : {true, false}) {
@@ -475,8 +476,8 @@
           if (Refused(name, zone, spot)) continue;
           Offer offer{&type, zone, spot};
           offer.tasks = tasks;
-          offer.fit =
-              FitCount(job.need, {type.cpus, type.gpus, type.memory_gb}, std::min(tasks + behind, 1000U));
+          offer.fit = FitCount(job.need, {type.cpus, type.gpus, type.memory_gb},
+                               std::min(tasks + behind, 1000U));
           offer.ready_s = ReadyTime(job, type);
           // Services stay; their machines pay off over an idle machine's life at the least.
           const double stay = job.spec.kind == wire::JobKind::kService
@@ -509,8 +510,7 @@
     const Offer* best = nullptr;
     size_t best_zone = 0;
     const bool hurry = job.spec.priority <= wire::Priority::kHigh || job.spec.deadline_s;
-    const double left_s =
-        job.spec.deadline_s ? job.accepted_at + *job.spec.deadline_s - now_ : 0;
+    const double left_s = job.spec.deadline_s ? job.accepted_at + *job.spec.deadline_s - now_ : 0;
     for (const Offer& offer : offers) {
       const size_t zone = MachinesIn(offer.zone);
       const auto rank = [&](const Offer& o) {
@@ -581,9 +581,9 @@
       rent->count = count;
       rent->asked_at = now_;
       // Named durably before the request: whoever leads next can ask for its machines again.
-      c_.MarkDirty(std::string(kMachinePrefix) + rent->name,
-                   job.spec.priority <= wire::Priority::kHigh ? Importance::kUser
-                                                              : Importance::kNormal);
+      c_.MarkDirty(
+          std::string(kMachinePrefix) + rent->name,
+          job.spec.priority <= wire::Priority::kHigh ? Importance::kUser : Importance::kNormal);
       for (int i = 0; i < count; ++i) AddUpcoming(*offer->type, offer->zone, offer->spot);
       c_.rents_[rent->name] = std::move(rent);
       left = UseUpcoming(job, left, planned);
@@ -619,8 +619,8 @@
 }
 
 void Cluster::CheckMachines(double now, Effects* effects) {
-  // A worker whose answer got lost is silent for a report period, its patience and a second. After a
-  // takeover nobody knows what is on a machine that is silent for longer. If services are missing
+  // A worker whose answer got lost is silent for a report period, its patience and a second. After
+  // a takeover nobody knows what is on a machine that is silent for longer. If services are missing
   // they may be there, and should not wait until its lease has ended for every earlier leader: a
   // deletion proves sooner that they are gone. When many are silent the trouble is on our side.
   const double silent_s = std::max(kSilentShare * settings_.lease_s,
--- a/src/election/elector.cc
+++ b/src/election/elector.cc
@@ -49,28 +49,28 @@
 
 void Elector::Look() {
   if (leading_) return;
-  store_->Get(kLeaderKey, core::Importance::kLeadership,
-              [this](state::Outcome outcome, std::optional<wire::StoreItem> item, uint64_t revision) {
-                if (leading_) return;
-                (void)revision;
-                if (outcome == state::Outcome::kNotFound) return Campaign();
-                if (outcome != state::Outcome::kOk) return LookLater(lease_s_ / kRenewals / 2);
-                const auto record = ParseLeader(item->value);
-                if (!record) {
-                  spdlog::error("the leader key holds something else; waiting for it to go");
-                  return LookLater(lease_s_);
-                }
-                if (record->node == node_) {
-                  // Ours from before a restart, or from an election whose answer got lost. Nothing
-                  // acts under it any more, so it need not be waited out.
-                  spdlog::info("giving up the lease of term {} from before a restart",
-                               record->term);
-                  store_->Revoke(record->lease);
-                  return LookLater(lease_s_ / kRenewals / 4);
-                }
-                Learn(record->node, record->term);
-                Watch(item->version);
-              });
+  store_->Get(
+      kLeaderKey, core::Importance::kLeadership,
+      [this](state::Outcome outcome, std::optional<wire::StoreItem> item, uint64_t revision) {
+        if (leading_) return;
+        (void)revision;
+        if (outcome == state::Outcome::kNotFound) return Campaign();
+        if (outcome != state::Outcome::kOk) return LookLater(lease_s_ / kRenewals / 2);
+        const auto record = ParseLeader(item->value);
+        if (!record) {
+          spdlog::error("the leader key holds something else; waiting for it to go");
+          return LookLater(lease_s_);
+        }
+        if (record->node == node_) {
+          // Ours from before a restart, or from an election whose answer got lost. Nothing
+          // acts under it any more, so it need not be waited out.
+          spdlog::info("giving up the lease of term {} from before a restart", record->term);
+          store_->Revoke(record->lease);
+          return LookLater(lease_s_ / kRenewals / 4);
+        }
+        Learn(record->node, record->term);
+        Watch(item->version);
+      });
 }
 
 void Elector::Watch(uint64_t after) {
@@ -116,30 +116,29 @@
 
 void Elector::Elect(uint64_t term, uint64_t term_version, uint64_t lease, double asked_at) {
   const wire::Json record{{"node", node_}, {"term", term}, {"lease", lease}};
-  store_->Commit({{kLeaderKey, 0}, {kTermKey, term_version}},
-                 {{kLeaderKey, record, lease}, {kTermKey, wire::Json(term), std::nullopt}},
-                 core::Importance::kLeadership,
-                 [this, term, lease, asked_at](state::Outcome outcome, uint64_t revision,
-                                               const std::vector<std::string>&) {
-                   if (leading_) return;
-                   if (outcome != state::Outcome::kOk) {
-                     // Lost, or unanswered. In doubt the term is not taken: Look finds the key, if
-                     // it is ours, and gives it up.
-                     if (outcome != state::Outcome::kUnknown) store_->Revoke(lease);
-                     return LookLater(outcome == state::Outcome::kConflict
-                                          ? 0
-                                          : lease_s_ / kRenewals / 2);
-                   }
-                   leading_ = true;
-                   renewing_ = false;
-                   lease_ = lease;
-                   term_ = term;
-                   valid_until_ = asked_at + lease_s_ * (1 - kSafety);
-                   spdlog::info("elected leader of term {}", term);
-                   Learn(node_, term);
-                   loop_->StartTimer(&renew_timer_, lease_s_ / kRenewals, [this] { Renew(); });
-                   hooks_.on_elected(term, {kLeaderKey, revision});
-                 });
+  store_->Commit(
+      {{kLeaderKey, 0}, {kTermKey, term_version}},
+      {{kLeaderKey, record, lease}, {kTermKey, wire::Json(term), std::nullopt}},
+      core::Importance::kLeadership,
+      [this, term, lease, asked_at](state::Outcome outcome, uint64_t revision,
+                                    const std::vector<std::string>&) {
+        if (leading_) return;
+        if (outcome != state::Outcome::kOk) {
+          // Lost, or unanswered. In doubt the term is not taken: Look finds the key, if
+          // it is ours, and gives it up.
+          if (outcome != state::Outcome::kUnknown) store_->Revoke(lease);
+          return LookLater(outcome == state::Outcome::kConflict ? 0 : lease_s_ / kRenewals / 2);
+        }
+        leading_ = true;
+        renewing_ = false;
+        lease_ = lease;
+        term_ = term;
+        valid_until_ = asked_at + lease_s_ * (1 - kSafety);
+        spdlog::info("elected leader of term {}", term);
+        Learn(node_, term);
+        loop_->StartTimer(&renew_timer_, lease_s_ / kRenewals, [this] { Renew(); });
+        hooks_.on_elected(term, {kLeaderKey, revision});
+      });
 }
 
 void Elector::Renew() {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -59,8 +59,8 @@
   slot->done = std::move(call.done);
   const double left = call.deadline - SteadyNow();
   if (slot->connection == nullptr) {
-    slot->connection =
-        evhttp_connection_base_bufferevent_new(loop_->base(), nullptr, nullptr, host_.c_str(), port_);
+    slot->connection = evhttp_connection_base_bufferevent_new(loop_->base(), nullptr, nullptr,
+                                                              host_.c_str(), port_);
     // Addresses are IPv4 numbers; without this libevent probes the interfaces over UDP first.
     evhttp_connection_set_family(slot->connection, AF_INET);
     evhttp_connection_set_max_body_size(slot->connection, static_cast<ev_ssize_t>(max_response_));
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -94,8 +94,7 @@
 // The answer of a leader may be given while its lease is valid; workers' leases are kept up for a
 // while longer, so that a common outage of the state service kills no running work.
 bool Leader::Entitled(double now) const {
-  return loaded_ &&
-         now < elector_->valid_until() + core::Cluster::KeepAliveLimit(settings_);
+  return loaded_ && now < elector_->valid_until() + core::Cluster::KeepAliveLimit(settings_);
 }
 
 void Leader::Tick() {
@@ -129,14 +128,15 @@
       known = cluster_->HasMachineTypes();
     }
     types_at_ = now + (known ? tuning_.idle_s : settings_.report_s / 3);
-    cloud_->MachineTypes([this, alive = alive_](std::optional<std::vector<wire::MachineType>> types) {
-      if (!*alive || !types) return;
-      {
-        const std::lock_guard lock(scheduler_->mutex);
-        cluster_->OnMachineTypes(*types);
-      }
-      AfterChange();
-    });
+    cloud_->MachineTypes(
+        [this, alive = alive_](std::optional<std::vector<wire::MachineType>> types) {
+          if (!*alive || !types) return;
+          {
+            const std::lock_guard lock(scheduler_->mutex);
+            cluster_->OnMachineTypes(*types);
+          }
+          AfterChange();
+        });
   }
   if (now >= list_at_) {
     list_at_ = now + std::max(2 * settings_.cloud_list_lag_s, settings_.lease_s / 2);
@@ -188,8 +188,8 @@
   for (size_t i = 0; i < effects.remove.size(); i += wire::kMaxDeleteNames) {
     const std::vector<std::string> names(
         effects.remove.begin() + static_cast<std::ptrdiff_t>(i),
-        effects.remove.begin() +
-            static_cast<std::ptrdiff_t>(std::min(i + wire::kMaxDeleteNames, effects.remove.size())));
+        effects.remove.begin() + static_cast<std::ptrdiff_t>(
+                                     std::min(i + wire::kMaxDeleteNames, effects.remove.size())));
     spdlog::info("returning {} machines, {} the first", names.size(), names.front());
     cloud_->Delete(names, [this, alive = alive_, names](bool gone) {
       if (!*alive) return;
@@ -313,7 +313,8 @@
     case CancelOutcome::kDone:
       return reply({200, 0, wire::JobStatusBody(id, wire::JobPhase::kDone)});
     case CancelOutcome::kPendingStore:
-      waiters_[id].push_back({std::move(reply), now + kPatienceShare * wire::kPollPatienceS, false});
+      waiters_[id].push_back(
+          {std::move(reply), now + kPatienceShare * wire::kPollPatienceS, false});
       return AfterChange();
     case CancelOutcome::kUnknown:
       return reply({404, 0, wire::ErrorBody("no such job")});
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -24,13 +24,14 @@
       tuning_(tuning),
       store_(&loop_, settings_),
       cloud_(&loop_, settings_),
-      elector_(&loop_, &store_, settings_, tuning_,
-               {[this](uint64_t term, const wire::StoreCondition& fence) { OnElected(term, fence); },
-                [this] { OnLost(); }}) {
+      elector_(
+          &loop_, &store_, settings_, tuning_,
+          {[this](uint64_t term, const wire::StoreCondition& fence) { OnElected(term, fence); },
+           [this] { OnLost(); }}) {
   for (const config::Peer& peer : settings_.peers) {
-    peers_[peer.node].client = std::make_unique<net::HttpClient>(
-        &loop_, peer.address.host, peer.address.port, kPeerConnections, kPeerQueue,
-        8 * wire::kMaxBody);
+    peers_[peer.node].client =
+        std::make_unique<net::HttpClient>(&loop_, peer.address.host, peer.address.port,
+                                          kPeerConnections, kPeerQueue, 8 * wire::kMaxBody);
   }
   // Kept-open connections of workers and users fall silent for a report or a poll, not for longer.
   const double idle_s = 4 * settings_.lease_s;
@@ -104,8 +105,8 @@
     if (peer.told_term == term) continue;
     PeerLink* link = &peer;
     link->client->Call("POST", std::string(wire::kPeerLeaderPath),
-                       ToJson(wire::LeaderNotice{settings_.node, term}).dump(),
-                       settings_.report_s, [this, link, term](const net::Response& response) {
+                       ToJson(wire::LeaderNotice{settings_.node, term}).dump(), settings_.report_s,
+                       [this, link, term](const net::Response& response) {
                          if (response.status != 200) return;
                          link->told_term = term;
                          if (const auto answer = wire::ParseLeaderNotice(response.body)) {
--- a/src/state/store_client.cc
+++ b/src/state/store_client.cc
@@ -120,9 +120,8 @@
 }
 
 void StoreClient::Grant(double ttl_s, LeaseDone done) {
-  Call("POST", std::string(wire::kLeasesPath),
-       wire::LeaseBody(static_cast<int64_t>(ttl_s * 1000)), timeout_s_,
-       core::Importance::kLeadership,
+  Call("POST", std::string(wire::kLeasesPath), wire::LeaseBody(static_cast<int64_t>(ttl_s * 1000)),
+       timeout_s_, core::Importance::kLeadership,
        [this, done = std::move(done)](Outcome outcome, const net::Response& response) {
          if (outcome != Outcome::kOk) return done(outcome, 0);
          const auto lease = wire::ParseLease(response.body);
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -348,7 +348,8 @@
       item.Unsigned("strike", &task.attempt);
       item.Enum("phase", kTaskPhases, &task.phase);
       if (task.phase == TaskPhase::kEnded) {
-        // A cause that is not known must not cost the whole report: the task has ended all the same.
+        // A cause that is not known must not cost the whole report: the task has ended all the
+        // same.
         task.cause = EndCause::kOther;
         const auto cause = entry.find("cause");
         for (const auto& [label, value] : kCauses) {
@@ -384,9 +385,9 @@
     if (task.saved) entry["kept"] = true;
     tasks.push_back(std::move(entry));
   }
-  Json json{{"anvil", report.machine}, {"address", report.address}, {"alloy", report.type},
-            {"yard", report.zone},     {"scrap", report.spot},      {"heat", report.session},
-            {"tally", report.seq},     {"mandate", report.token},   {"recallS", nullptr},
+  Json json{{"anvil", report.machine},   {"address", report.address}, {"alloy", report.type},
+            {"yard", report.zone},       {"scrap", report.spot},      {"heat", report.session},
+            {"tally", report.seq},       {"mandate", report.token},   {"recallS", nullptr},
             {"shards", std::move(tasks)}};
   if (report.notice_s) json["recallS"] = *report.notice_s;
   return json;
@@ -445,11 +446,11 @@
 }
 
 Json ToJson(const MachineType& type) {
-  return {{"name", type.name},          {"vcpus", type.cpus},
-          {"gpus", type.gpus},          {"ramGb", type.memory_gb},
-          {"localGb", type.cache_gb},   {"fetchGbPerS", type.fetch_gb_per_s},
-          {"price", type.price},        {"spotPrice", type.spot_price},
-          {"bootS", type.boot_s},       {"yards", type.zones}};
+  return {{"name", type.name},        {"vcpus", type.cpus},
+          {"gpus", type.gpus},        {"ramGb", type.memory_gb},
+          {"localGb", type.cache_gb}, {"fetchGbPerS", type.fetch_gb_per_s},
+          {"price", type.price},      {"spotPrice", type.spot_price},
+          {"bootS", type.boot_s},     {"yards", type.zones}};
 }
 
 std::string RentBody(const RentRequest& request) {
@@ -474,20 +475,20 @@
 }
 
 std::optional<MachinePage> ParseMachinePage(std::string_view body) {
-  auto machines =
-      ParseList<ListedMachine>(body, "anvils", [](const Json& entry) -> std::optional<ListedMachine> {
-        ListedMachine machine;
-        Reader reader(entry);
-        reader.String("uid", &machine.id);
-        reader.String("address", &machine.address);
-        reader.String("alloy", &machine.type);
-        reader.String("yard", &machine.zone);
-        reader.Bool("scrap", &machine.spot);
-        reader.Enum("phase", kListedStates, &machine.state);
-        reader.Amount("heldS", &machine.age_s);
-        if (!reader.ok()) return std::nullopt;
-        return machine;
-      });
+  auto machines = ParseList<ListedMachine>(body, "anvils",
+                                           [](const Json& entry) -> std::optional<ListedMachine> {
+                                             ListedMachine machine;
+                                             Reader reader(entry);
+                                             reader.String("uid", &machine.id);
+                                             reader.String("address", &machine.address);
+                                             reader.String("alloy", &machine.type);
+                                             reader.String("yard", &machine.zone);
+                                             reader.Bool("scrap", &machine.spot);
+                                             reader.Enum("phase", kListedStates, &machine.state);
+                                             reader.Amount("heldS", &machine.age_s);
+                                             if (!reader.ok()) return std::nullopt;
+                                             return machine;
+                                           });
   if (!machines) return std::nullopt;
   MachinePage page;
   page.machines = std::move(*machines);
@@ -538,7 +539,8 @@
 std::string TransactionBody(const std::vector<StoreCondition>& conditions,
                             const std::vector<StoreWrite>& writes) {
   Json when = Json::array();
-  for (const StoreCondition& c : conditions) when.push_back({{"path", c.key}, {"stamp", c.version}});
+  for (const StoreCondition& c : conditions)
+    when.push_back({{"path", c.key}, {"stamp", c.version}});
   Json then = Json::array();
   for (const StoreWrite& w : writes) {
     if (!w.value) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -1,6 +1,6 @@
-// The formats that zinclead speaks with users, workers, cloud and state service. No I/O: clients can
-// use this package alone. The names on the wire appear here and nowhere else; the structures use
-// the field's ordinary terms.
+// The formats that zinclead speaks with users, workers, cloud and state service. No I/O: clients
+// can use this package alone. The names on the wire appear here and nowhere else; the structures
+// use the field's ordinary terms.
 #ifndef ZINCLEAD_WIRE_WIRE_H_
 #define ZINCLEAD_WIRE_WIRE_H_
 
--- a/tests/cluster_model_test.cc
+++ b/tests/cluster_model_test.cc
@@ -106,8 +106,10 @@
       old.alive = old.alive && Chance(0.6);
     }
     Node node;
-    node.cluster = std::make_unique<Cluster>(settings_, tuning_, ++term_, now_, 1e6 + now_, random_());
-    for (const auto& [key, value] : store_) EXPECT_TRUE(node.cluster->LoadRecord(key, value)) << key;
+    node.cluster =
+        std::make_unique<Cluster>(settings_, tuning_, ++term_, now_, 1e6 + now_, random_());
+    for (const auto& [key, value] : store_)
+      EXPECT_TRUE(node.cluster->LoadRecord(key, value)) << key;
     node.cluster->FinishLoading(now_);
     node.cluster->OnMachineTypes(types_);
     nodes_.push_back(std::move(node));
@@ -168,8 +170,10 @@
     if (kind == 1) spec.kind = wire::JobKind::kGang;
     if (Chance(0.3)) spec.priority = wire::Priority::kProduction;
     if (Chance(0.3)) spec.team = "capped";
-    if (Chance(0.2)) spec.one_zone = true;
-    else if (Chance(0.3)) spec.spread = true;
+    if (Chance(0.2))
+      spec.one_zone = true;
+    else if (Chance(0.3))
+      spec.spread = true;
     spec.spot = Chance(0.5);
     if (Chance(0.3)) {
       spec.checkpoint_s = 4;
@@ -319,7 +323,8 @@
     r.seq = ++w->seq;
     r.token = w->token;
     for (const auto& [key, task] : w->tasks) {
-      r.tasks.push_back({*wire::ParseTaskName(key.first), key.second, task.phase, task.cause, false});
+      r.tasks.push_back(
+          {*wire::ParseTaskName(key.first), key.second, task.phase, task.cause, false});
     }
     flight.sent_at = now_;
     flight.arrives_at = now_ + (Chance(0.05) ? Uniform(0, 6) : Uniform(0, 0.2));
--- a/tests/committer_test.cc
+++ b/tests/committer_test.cc
@@ -20,18 +20,18 @@
     settings_.state.port = standin_.port();
     settings_.report_s = 0.4;  // time-outs and retries are ratios to it
     store_ = std::make_unique<StoreClient>(&loop_, settings_);
-    standin_.Execute({{"when", Json::array()},
-                      {"writes", {{{"put", election::kLeaderKey}, {"value", "us"}}}}});
+    standin_.Execute(
+        {{"when", Json::array()}, {"writes", {{{"put", election::kLeaderKey}, {"value", "us"}}}}});
     cluster_ = std::make_unique<core::Cluster>(settings_, config::OperatorSettings(), 1,
                                                net::SteadyNow(), net::WallNow(), 1);
     cluster_->OnMachineTypes({testing::MakeType("c4", 4, 1)});
     cluster_->FinishLoading(net::SteadyNow());
     const uint64_t fence = standin_.entries()[election::kLeaderKey].version;
-    committer_ = std::make_unique<Committer>(
-        &loop_, store_.get(), settings_, &mutex_, cluster_.get(),
-        wire::StoreCondition{election::kLeaderKey, fence},
-        std::unordered_map<std::string, uint64_t>(),
-        Committer::Hooks{[] {}, [this] { fenced_ = true; }});
+    committer_ =
+        std::make_unique<Committer>(&loop_, store_.get(), settings_, &mutex_, cluster_.get(),
+                                    wire::StoreCondition{election::kLeaderKey, fence},
+                                    std::unordered_map<std::string, uint64_t>(),
+                                    Committer::Hooks{[] {}, [this] { fenced_ = true; }});
   }
   bool Until(const std::function<bool()>& done) {
     const double limit = net::SteadyNow() + 30;
@@ -104,8 +104,8 @@
 }
 
 TEST_F(CommitterTest, AnotherLeaderFencesItOff) {
-  standin_.Execute({{"when", Json::array()},
-                    {"writes", {{{"put", election::kLeaderKey}, {"value", "other"}}}}});
+  standin_.Execute(
+      {{"when", Json::array()}, {"writes", {{{"put", election::kLeaderKey}, {"value", "other"}}}}});
   Submit("req-000001");
   ASSERT_TRUE(Until([&] { return fenced_; }));
   EXPECT_FALSE(Durable("req-000001"));
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -89,7 +89,8 @@
   ASSERT_TRUE(ParseOperatorSettings("<zinclead/>", &s, &error)) << error;
   EXPECT_EQ(s.retry_s, OperatorSettings().retry_s);
   ASSERT_TRUE(ParseOperatorSettings(
-      "<zinclead><dispatch retry-s='7.5'/><admission max-active-jobs='10'/></zinclead>", &s, &error));
+      "<zinclead><dispatch retry-s='7.5'/><admission max-active-jobs='10'/></zinclead>", &s,
+      &error));
   EXPECT_EQ(s.retry_s, 7.5);
   EXPECT_EQ(s.max_active_jobs, 10);
   const std::pair<const char*, const char*> faults[] = {
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -76,7 +76,8 @@
     for (const auto& c : result.commands) {
       const std::string name = wire::TaskName(c.task.job, c.task.index);
       if (c.op == wire::CommandOp::kStart) {
-        (*tasks)[name] = {c.task, c.attempt, wire::TaskPhase::kRunning, wire::EndCause::kNone, false};
+        (*tasks)[name] = {c.task, c.attempt, wire::TaskPhase::kRunning, wire::EndCause::kNone,
+                          false};
       } else if (c.op == wire::CommandOp::kForget) {
         tasks->erase(name);
       } else if (tasks->contains(name)) {
@@ -294,7 +295,8 @@
   EXPECT_EQ(cluster_->Schedule(now_).remove, std::vector<std::string>{"i-1"});
 }
 
-// 100,000 tasks fit the store's values and one machine after the other's completions are few writes.
+// 100,000 tasks fit the store's values and one machine after the other's completions are few
+// writes.
 TEST_F(CoreTest, LargeJobFitsItsRecords) {
   Submit(testing::MakeJob("req-1", 100'000));
   Store();
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -38,8 +38,8 @@
           return std::make_unique<StandInWorker>(&loop_, identity, nodes, 0.2, 0.5);
         });
     for (int i = 0; i < 3; ++i) {
-      clients_.push_back(std::make_unique<net::HttpClient>(&loop_, "127.0.0.1", Listen(i), 2, 8,
-                                                           size_t{1} << 20));
+      clients_.push_back(
+          std::make_unique<net::HttpClient>(&loop_, "127.0.0.1", Listen(i), 2, 8, size_t{1} << 20));
       Start(i);
     }
   }
@@ -61,8 +61,9 @@
       f << "[[others]]\nnode = \"n" << j << "\"\nzone = \"a\"\naddress = \"127.0.0.1:" << Back(j)
         << "\"\n";
     }
-    f << "[endpoints]\ncloud = \"127.0.0.1:" << cloud_->port() << "\"\nstate = \"127.0.0.1:"
-      << store_->port() << "\"\n[settings]\ncount = 3\nzones = [\"a\", \"b\", \"c\"]\n"
+    f << "[endpoints]\ncloud = \"127.0.0.1:" << cloud_->port()
+      << "\"\nstate = \"127.0.0.1:" << store_->port()
+      << "\"\n[settings]\ncount = 3\nzones = [\"a\", \"b\", \"c\"]\n"
       << "clock_error_ms = 100.0\n[[settings.teams]]\nname = \"open\"\n"
       << "[settings.workers]\nreport_s = 0.5\nlease_s = 5.0\ncancel_s = 12.5\n"
       << "[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 8.0\ntxn_ops = 8\n"
@@ -159,8 +160,9 @@
   const auto starts = [&] {
     size_t count = 0;
     for (const auto& [id, worker] : cloud_->workers()) {
-      count += static_cast<size_t>(std::count_if(worker->started.begin(), worker->started.end(),
-                             [](const std::string& task) { return task.starts_with("req-000002/"); }));
+      count += static_cast<size_t>(
+          std::count_if(worker->started.begin(), worker->started.end(),
+                        [](const std::string& task) { return task.starts_with("req-000002/"); }));
       for (auto& [key, task] : worker->tasks()) {
         if (key.first.starts_with("req-000002/")) task.ends_at = 1e18;
       }
@@ -180,8 +182,10 @@
 
   // The killed one comes back and hands calls on; all of them die and nothing told is lost.
   Start(old_leader);
-  EXPECT_EQ(AskUntilTaken(old_leader, "POST", "/submissions",
-                          ToJson(MakeJob("req-000003", 3)).dump()).status, 201);
+  EXPECT_EQ(
+      AskUntilTaken(old_leader, "POST", "/submissions", ToJson(MakeJob("req-000003", 3)).dump())
+          .status,
+      201);
   for (int i = 0; i < 3; ++i) Kill(i);
   for (int i = 0; i < 3; ++i) Start(i);
   ASSERT_TRUE(Until([&] { return PhaseOf(0, "req-000003") == "done"; }));
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -108,8 +108,7 @@
       const std::string key = r.path.substr(7);
       const auto it = entries_.find(key);
       if (it == entries_.end()) return send(404, {{"ledger", revision_}});
-      return send(200,
-                  {{"path", key}, {"value", it->second.value}, {"stamp", it->second.version}});
+      return send(200, {{"path", key}, {"value", it->second.value}, {"stamp", it->second.version}});
     }
     if (r.path == "/grants") {
       const uint64_t lease = ++last_lease_;
@@ -185,8 +184,8 @@
     wire::EndCause cause = wire::EndCause::kNone;
     double ends_at = 0;
   };
-  StandInWorker(net::EventLoop* loop, wire::Report identity,
-                std::map<std::string, uint16_t> nodes, double report_s, double run_s)
+  StandInWorker(net::EventLoop* loop, wire::Report identity, std::map<std::string, uint16_t> nodes,
+                double report_s, double run_s)
       : loop_(loop), identity_(std::move(identity)), report_s_(report_s), run_s_(run_s) {
     for (const auto& [node, port] : nodes) {
       names_.push_back(node);
@@ -213,29 +212,30 @@
       report.tasks.push_back(
           {*wire::ParseTaskName(key.first), key.second, task.phase, task.cause, false});
     }
-    clients_[names_[at_]]->Call(
-        "POST", std::string(wire::kReportPath), ToJson(report).dump(), 4,
-        [this](const net::Response& response) {
-          double next = report_s_;
-          const Json body = Json::parse(response.body, nullptr, false);
-          if (response.status == 200 && body.is_object() &&
-              body.value("mandate", uint64_t{0}) >= identity_.token) {
-            identity_.token = body["mandate"].get<uint64_t>();
-            for (const Json& order : body["orders"]) Follow(order);
-          } else if (response.status == 421 && body.contains("foreman")) {
-            const auto it = std::find(names_.begin(), names_.end(), body["foreman"]);
-            if (it != names_.end()) at_ = static_cast<size_t>(it - names_.begin());
-            next = 0.05;
-          } else {
-            at_ = (at_ + 1) % names_.size();
-            next = report_s_;
-          }
-          loop_->StartTimer(&timer_, next, [this] { Report(); });
-        });
+    clients_[names_[at_]]->Call("POST", std::string(wire::kReportPath), ToJson(report).dump(), 4,
+                                [this](const net::Response& response) {
+                                  double next = report_s_;
+                                  const Json body = Json::parse(response.body, nullptr, false);
+                                  if (response.status == 200 && body.is_object() &&
+                                      body.value("mandate", uint64_t{0}) >= identity_.token) {
+                                    identity_.token = body["mandate"].get<uint64_t>();
+                                    for (const Json& order : body["orders"]) Follow(order);
+                                  } else if (response.status == 421 && body.contains("foreman")) {
+                                    const auto it =
+                                        std::find(names_.begin(), names_.end(), body["foreman"]);
+                                    if (it != names_.end())
+                                      at_ = static_cast<size_t>(it - names_.begin());
+                                    next = 0.05;
+                                  } else {
+                                    at_ = (at_ + 1) % names_.size();
+                                    next = report_s_;
+                                  }
+                                  loop_->StartTimer(&timer_, next, [this] { Report(); });
+                                });
   }
   void Follow(const Json& order) {
-    const auto key = std::make_pair(order["shard"].get<std::string>(),
-                                    order["strike"].get<uint64_t>());
+    const auto key =
+        std::make_pair(order["shard"].get<std::string>(), order["strike"].get<uint64_t>());
     const std::string verb = order["verb"];
     if (verb == "run" && !tasks_.contains(key)) {
       tasks_[key].ends_at = net::SteadyNow() + run_s_;
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -42,10 +42,10 @@
 // three optional fields may be null or missing. Nothing crashes.
 RC_GTEST_PROP(Submission, DamagedFieldsAreRefused, ()) {
   const Json good = ToJson(*AnyJob());
-  const std::vector<std::string> fields = {
-      "uid",    "lane",      "crew",  "shape", "rank",    "shards",  "vcpus",  "gpus",   "ramGb",
-      "cast",   "pullGb",    "alloys", "yard", "samePlace", "apart", "scrap", "reckonS", "temperS",
-      "quenchS", "dueS"};
+  const std::vector<std::string> fields = {"uid",    "lane",    "crew",    "shape",     "rank",
+                                           "shards", "vcpus",   "gpus",    "ramGb",     "cast",
+                                           "pullGb", "alloys",  "yard",    "samePlace", "apart",
+                                           "scrap",  "reckonS", "temperS", "quenchS",   "dueS"};
   const std::string field = *rc::gen::elementOf(fields);
   const bool optional = field == "alloys" || field == "yard" || field == "dueS";
   const Json damage = *rc::gen::element<Json>(Json(nullptr), Json::object(), Json(-1.5),
@@ -68,7 +68,8 @@
 
 TEST(Submission, RefusesWhatIsNotASubmission) {
   std::string error;
-  for (const char* body : {"", "{", "[]", "3", "null", "\"req-1\"", "{\"uid\":1e999}", "\xff\xfe"}) {
+  for (const char* body :
+       {"", "{", "[]", "3", "null", "\"req-1\"", "{\"uid\":1e999}", "\xff\xfe"}) {
     EXPECT_FALSE(ParseSubmission(body, &error)) << body;
   }
   Json json = ToJson(testing::MakeJob("req-000001"));
@@ -128,7 +129,8 @@
   const std::string text = *rc::gen::arbitrary<std::string>();
   const Json shaped{{*rc::gen::element<std::string>("alloys", "anvils", "entries", "ledger"),
                      *rc::gen::element<Json>(Json(text), Json::array({1}), Json(3), Json())}};
-  for (const std::string& body : {text, shaped.dump(-1, ' ', false, Json::error_handler_t::replace)}) {
+  for (const std::string& body :
+       {text, shaped.dump(-1, ' ', false, Json::error_handler_t::replace)}) {
     std::string error;
     (void)ParseReport(body, &error);
     (void)ParseMachineTypes(body);
