Pending jobs retry every 5 s plus jitter, on changes at once, as the design says

Cause: the pass over pending jobs ran twice a report period whatever changed, and the jitter setting had no effect.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -353,6 +353,7 @@
   bool settled_ = false;
   bool dirty_ = true;
   double next_wake_ = 0;
+  double retry_at_ = 0;  // when pending jobs are tried again even if nothing has changed
 };
 
 }  // namespace zinclead::core
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <random>
 #include <utility>
 
 #include "core/cluster.h"
@@ -569,7 +570,11 @@
       const std::vector<Offer> offers = Offers(job, left, behind, *planned);
       const Offer* offer = Choose(job, offers);
       if (offer == nullptr || offer->fit == 0) return;
-      if (!c_.rent_tokens_.Take(now_, 1, Importance::kNormal)) return;
+      if (!c_.rent_tokens_.Take(now_, 1, Importance::kNormal)) {
+        const double wait = c_.rent_tokens_.Wait(now_, 1, Importance::kNormal);
+        c_.retry_at_ = std::min(c_.retry_at_, now_ + wait);
+        return;
+      }
       const uint32_t tasks = std::min(left, offer->tasks) + behind;
       const int count = static_cast<int>(
           std::min<uint32_t>((tasks + offer->fit - 1) / offer->fit, wire::kMaxRentCount));
@@ -602,6 +607,8 @@
 
 void Cluster::PlaceAndRent(double now) {
   dirty_ = false;
+  retry_at_ = now + tuning_.retry_s +
+              std::uniform_real_distribution<double>(0, tuning_.retry_jitter_s)(random_);
   SchedulePass(this, now).Run();
 }
 
@@ -702,9 +709,9 @@
   Effects effects;
   CheckMachines(now, &effects);
   CheckSettled(now);
-  PlaceAndRent(now);
+  if (dirty_ || now >= retry_at_) PlaceAndRent(now);
   SendRents(now, &effects);
-  next_wake_ = now + settings_.report_s / 2;
+  next_wake_ = std::min(now + settings_.report_s / 2, retry_at_);
   return effects;
 }
 
