--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -157,7 +157,7 @@
     if (job->AllDone()) over.push_back(job);
   }
   for (Job* job : over) MarkDirty(JobKey(job->spec.id), Importance::kUser);
-  CheckSettled(now);
+  CheckSettled();
   dirty_ = true;
 }
 
@@ -229,7 +229,7 @@
   return SubmitOutcome::kAccepted;
 }
 
-CancelOutcome Cluster::Cancel(const std::string& id, double now) {
+CancelOutcome Cluster::Cancel(const std::string& id) {
   if (const auto it = finished_.find(id); it != finished_.end()) {
     return it->second.state == FinalState::kDone ? CancelOutcome::kDone : CancelOutcome::kCancelled;
   }
@@ -246,7 +246,6 @@
       if (attempt->phase == AttemptPhase::kPlaced && !attempt->start_sent) attempt->stop = true;
     }
     dirty_ = true;
-    (void)now;
   }
   return CancelOutcome::kPendingStore;
 }
@@ -464,14 +463,13 @@
 
 // Until every machine that may hold tasks of earlier terms has shown that it follows this term, or
 // is gone, a task that nobody has reported may still run somewhere.
-void Cluster::CheckSettled(double now) {
+void Cluster::CheckSettled() {
   if (settled_) return;
   for (const auto& [id, m] : machines_) {
     if (m->may_hold_tasks && !m->acknowledged && !m->session_gone) return;
   }
   settled_ = true;
   dirty_ = true;
-  (void)now;
   std::vector<Job*> over;
   for (auto& [id, job] : jobs_) {
     if (job->final_state != FinalState::kNone && job->attempts == 0) over.push_back(job.get());
@@ -547,7 +545,7 @@
       it->second->delete_retry_at = now + tuning_.retry_s / 5;
     }
   }
-  CheckSettled(now);
+  CheckSettled();
   dirty_ = true;
 }
 
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -113,9 +113,7 @@
   uint32_t running = 0;
   uint32_t attempts = 0;            // known on any machine, ended ones included
   std::set<std::string> failed_on;  // machines on which a task ended with an error
-  int failures = 0;
   double not_before = 0;
-  double retry_at = 0;
 
   bool Live() const { return final_state == FinalState::kNone && !cancel_wanted; }
   bool AllDone() const { return done == spec.tasks; }
@@ -196,7 +194,7 @@
 
   // ---- users ----
   SubmitOutcome Submit(const wire::JobSpec& spec, double now, double wall_now, std::string* error);
-  CancelOutcome Cancel(const std::string& id, double now);
+  CancelOutcome Cancel(const std::string& id);
   struct JobView {
     wire::JobPhase phase = wire::JobPhase::kPending;
     uint32_t done = 0;
@@ -285,7 +283,7 @@
   Machine* AddMachine(const std::string& id, RentRecord* record, double now);
   void RemoveMachine(const std::string& id, double now);
   RentRecord* RecordOf(const Machine& m);
-  void CheckSettled(double now);
+  void CheckSettled();
   bool MachineUsable(const Machine& m) const;
 
   void MarkDirty(const std::string& key, Importance importance);
--- a/src/core/hello.cc
+++ b/src/core/hello.cc
@@ -109,7 +109,7 @@
   if (report.token >= term_ && !m->acknowledged) {
     m->acknowledged = true;
     dirty_ = true;
-    CheckSettled(now);
+    CheckSettled();
   }
 
   // Freed room is filled in this very answer rather than in the next one.
@@ -211,7 +211,6 @@
 }
 
 void Cluster::OnTaskError(Machine* m, Job* job, double now) {
-  ++job->failures;
   job->failed_on.insert(m->id);
   m->failed_jobs.insert(job->spec.id);
   if (job->failed_on.size() >= kJobAtFault) {
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -708,7 +708,7 @@
 Effects Cluster::Schedule(double now) {
   Effects effects;
   CheckMachines(now, &effects);
-  CheckSettled(now);
+  CheckSettled();
   if (dirty_ || now >= retry_at_) PlaceAndRent(now);
   SendRents(now, &effects);
   next_wake_ = std::min(now + settings_.report_s / 2, retry_at_);
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -305,7 +305,7 @@
   CancelOutcome outcome{};
   {
     const std::lock_guard lock(scheduler_->mutex);
-    outcome = cluster_->Cancel(id, now);
+    outcome = cluster_->Cancel(id);
   }
   switch (outcome) {
     case CancelOutcome::kCancelled:
--- a/src/service/node.h
+++ b/src/service/node.h
@@ -33,7 +33,6 @@
  private:
   struct PeerLink {
     std::unique_ptr<net::HttpClient> client;
-    double notice_at = 0;  // when to tell it again who leads
     uint64_t told_term = 0;
   };
 
--- a/tests/cluster_model_test.cc
+++ b/tests/cluster_model_test.cc
@@ -133,7 +133,7 @@
       std::advance(it, static_cast<long>(random_() % told_.size()));
       if (it->second.accepted) {
         it->second.cancel_asked = true;
-        (void)Current().cluster->Cancel(it->first, now_);
+        (void)Current().cluster->Cancel(it->first);
       }
     }
     // Services are cancelled in the end, so that every history can come to its end.
@@ -141,7 +141,7 @@
       for (auto& [id, told] : told_) {
         if (told.accepted && !told.cancelled_at && told.spec.kind == wire::JobKind::kService) {
           told.cancel_asked = true;
-          (void)Current().cluster->Cancel(id, now_);
+          (void)Current().cluster->Cancel(id);
         }
       }
     }
--- a/tests/committer_test.cc
+++ b/tests/committer_test.cc
@@ -71,7 +71,7 @@
   ASSERT_TRUE(Until([&] { return Durable("req-000001"); }));
   EXPECT_FALSE(fenced_);
   // Later writes go on from the version that was read back.
-  cluster_->Cancel("req-000001", net::SteadyNow());
+  cluster_->Cancel("req-000001");
   committer_->Kick();
   ASSERT_TRUE(Until([&] { return cluster_->View("req-000001")->final; }));
 }
@@ -96,7 +96,7 @@
   };
   Submit("req-000001");
   ASSERT_TRUE(Until([&] { return Durable("req-000001"); }));
-  cluster_->Cancel("req-000001", net::SteadyNow());
+  cluster_->Cancel("req-000001");
   committer_->Kick();
   ASSERT_TRUE(Until([&] { return cluster_->View("req-000001")->final; }));
   for (const Json& txn : seen) EXPECT_EQ(standin_.Execute(txn).first, 409);
