--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -55,6 +55,7 @@
   };
 
   std::vector<Job*> Order() {
+    FindGuaranteed();
     std::vector<Job*> jobs;
     for (auto& [key, job] : c_.active_jobs_) {
       if (job->pending == 0 || !job->Live() || !job->stored || job->not_before > now_) continue;
@@ -66,6 +67,9 @@
     std::stable_sort(jobs.begin(), jobs.end(), [&](const Job* a, const Job* b) {
       const bool late_a = now_ - a->accepted_at > c_.tuning_.deadline_s;
       const bool late_b = now_ - b->accepted_at > c_.tuning_.deadline_s;
+      const bool sure_a = Guaranteed(*a);
+      const bool sure_b = Guaranteed(*b);
+      if (sure_a != sure_b) return sure_a;
       if (a->spec.priority != b->spec.priority) return a->spec.priority < b->spec.priority;
       return late_a < late_b;
     });
@@ -74,6 +78,35 @@
 
   const config::Team* TeamOf(const Job& job) const { return c_.settings_.FindTeam(job.spec.team); }
 
+  // Teams whose unfinished jobs all fit within what they are guaranteed need not wait for others.
+  void FindGuaranteed() {
+    std::map<std::string, Resources> asked;
+    for (const config::Team& team : c_.settings_.teams) {
+      if (team.cpus > 0 || team.gpus > 0) asked[team.name];
+    }
+    if (asked.empty()) return;
+    for (const auto& [key, job] : c_.active_jobs_) {
+      const auto it = asked.find(job->spec.team);
+      if (it == asked.end() || !job->Live()) continue;
+      const double left = job->spec.tasks - job->done;
+      it->second.cpus += left * job->need.cpus;
+      it->second.gpus += left * job->need.gpus;
+    }
+    for (const auto& [name, sum] : asked) {
+      const config::Team* team = c_.settings_.FindTeam(name);
+      if (sum.cpus <= team->cpus && sum.gpus <= team->gpus) guaranteed_.insert(name);
+    }
+  }
+  bool Guaranteed(const Job& job) const { return guaranteed_.contains(job.spec.team); }
+
+  // Work that another team runs beyond its own guarantee may be stopped for a guaranteed job.
+  bool Borrowed(const Job& job, const Job& other) {
+    if (!Guaranteed(job) || job.spec.team == other.spec.team) return false;
+    const config::Team* team = TeamOf(other);
+    const Resources& used = c_.team_usage_[other.spec.team];
+    return team == nullptr || used.cpus > team->cpus || used.gpus > team->gpus;
+  }
+
   bool Capped(const Job& job) const {
     const config::Team* team = TeamOf(job);
     return team == nullptr || team->cpus_max > 0 || team->gpus_max > 0;
@@ -169,7 +202,7 @@
     if (job->pending == 0 || !WithinLimit(*job)) return;
     uint32_t left = job->pending;
     std::map<std::string, int> planned;
-    if (job->spec.priority <= wire::Priority::kHigh || Pressing(*job)) {
+    if (job->spec.priority <= wire::Priority::kHigh || Pressing(*job) || Guaranteed(*job)) {
       left = Preempt(job, left, &planned);
     }
     left = UseUpcoming(*job, left, &planned);
@@ -327,9 +360,9 @@
         if (!a->holds_room) continue;
         if (a->stop) {
           coming += a->job->need;
-        } else if (a->job->spec.priority > job->spec.priority &&
-                   a->job->spec.kind == wire::JobKind::kArray &&
-                   (urgent || a->job->spec.checkpoint_s > 0)) {
+        } else if (Borrowed(*job, *a->job) || (a->job->spec.priority > job->spec.priority &&
+                                               a->job->spec.kind == wire::JobKind::kArray &&
+                                               (urgent || a->job->spec.checkpoint_s > 0))) {
           victims.push_back(a.get());
         }
       }
@@ -597,6 +630,7 @@
 
   Cluster& c_;
   const double now_;
+  std::set<std::string> guaranteed_;  // teams
   std::vector<Job*> order_;
   size_t next_ = 0;  // in order_, behind the job that is being placed
   std::optional<std::string> one_zone_;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -266,6 +266,25 @@
   EXPECT_EQ(tasks.size(), 4U);
 }
 
+TEST_F(CoreTest, GuaranteedTeamTakesBackWhatOthersBorrow) {
+  settings_.teams.push_back({"sure", 2, 0, 0, 0});
+  Restart();
+  std::map<std::string, wire::ReportedTask> tasks;
+  Submit(testing::MakeJob("req-1", 4));
+  Store();
+  Ready("i-1", &tasks);
+  ASSERT_EQ(tasks.size(), 4U);
+  wire::JobSpec sure = testing::MakeJob("req-2", 2);
+  sure.team = "sure";
+  sure.priority = wire::Priority::kLow;
+  Submit(sure);
+  Store();
+  cluster_->Schedule(now_);
+  for (int i = 0; i < 3; ++i) Hello("i-1", &tasks);
+  EXPECT_TRUE(tasks.contains("req-2/0") && tasks.contains("req-2/1"));
+  EXPECT_EQ(tasks.size(), 4U);
+}
+
 TEST_F(CoreTest, SpotNoticeSavesWorkAndGivesTheMachineUp) {
   std::map<std::string, wire::ReportedTask> tasks;
   wire::JobSpec spec = testing::MakeJob("req-1");
