--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -103,7 +103,8 @@
   bool Borrowed(const Job& job, const Job& other) {
     if (!Guaranteed(job) || job.spec.team == other.spec.team) return false;
     const config::Team* team = TeamOf(other);
-    const Resources& used = c_.team_usage_[other.spec.team];
+    Resources used = c_.team_usage_[other.spec.team];
+    used -= reclaimed_[other.spec.team];
     return team == nullptr || used.cpus > team->cpus || used.gpus > team->gpus;
   }
 
@@ -379,8 +380,12 @@
         Resources room = coming;
         size_t look = next;
         while (!job->need.Fits(room) && look < victims.size()) {
-          room += victims[look]->job->need;
-          chosen.push_back(victims[look++]);
+          Attempt* victim = victims[look++];
+          const bool lesser = victim->job->spec.priority > job->spec.priority;
+          if (!lesser && !Borrowed(*job, *victim->job)) continue;  // taken back already
+          if (!lesser) reclaimed_[victim->job->spec.team] += victim->job->need;
+          room += victim->job->need;
+          chosen.push_back(victim);
         }
         if (!job->need.Fits(room)) break;
         for (Attempt* a : chosen) c_.StopAttempt(a, urgent ? 0 : a->job->spec.save_s, now_);
@@ -630,7 +635,8 @@
 
   Cluster& c_;
   const double now_;
-  std::set<std::string> guaranteed_;  // teams
+  std::set<std::string> guaranteed_;            // teams
+  std::map<std::string, Resources> reclaimed_;  // by team, what this pass stops of it
   std::vector<Job*> order_;
   size_t next_ = 0;  // in order_, behind the job that is being placed
   std::optional<std::string> one_zone_;
