Tidy: one place each for spread room, task activation, the fault limit and test loops

Behaviour unchanged. Patient is worked out once for a group of like jobs instead of once a job; a condition that its neighbour implied is gone.

--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -305,6 +305,13 @@
   return a;
 }
 
+// The pending task is in the hands of this attempt from now on.
+void Cluster::Activate(Attempt* a) {
+  a->job->tasks[a->index] = TaskState::kActive;
+  --a->job->pending;
+  a->job->active[a->index] = a;
+}
+
 // The task can no longer be on the machine: it has ended there, or the machine's session has.
 void Cluster::ReleaseRoom(Attempt* a) {
   if (!a->holds_room) return;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -66,6 +66,9 @@
   return type + "|" + zone + (spot ? "|spot" : "|ordinary");
 }
 
+// A job whose tasks failed on this many machines is at fault itself; until then the machines are.
+inline constexpr size_t kJobAtFault = 3;
+
 struct Machine;
 struct Job;
 
@@ -271,6 +274,7 @@
 
   // Bookkeeping of attempts.
   Attempt* AddAttempt(Machine* m, Job* job, uint32_t index, uint64_t number, double now);
+  void Activate(Attempt* a);
   void ReleaseRoom(Attempt* a);
   void RemoveAttempt(Attempt* a, double now);
   void DropAllAttempts(Machine* m, double now);
--- a/src/core/hello.cc
+++ b/src/core/hello.cc
@@ -9,8 +9,6 @@
 namespace zinclead::core {
 namespace {
 
-// A job whose tasks failed on this many machines is at fault itself; until then the machines are.
-constexpr size_t kJobAtFault = 3;
 // A machine on which the tasks of this many jobs failed is faulty.
 constexpr size_t kMachineAtFault = 2;
 
@@ -148,9 +146,7 @@
   } else {
     a = AddAttempt(m, job, listed.task.index, listed.attempt, now);
     if (!ended && may_adopt && job->Live() && job->tasks[a->index] == TaskState::kPending) {
-      job->tasks[a->index] = TaskState::kActive;
-      --job->pending;
-      job->active[a->index] = a;
+      Activate(a);
     } else if (!ended) {
       StopAttempt(a, 0, now);  // a stray: the task is over, or its place is elsewhere
     }
@@ -172,7 +168,7 @@
   }
   if (OnMachine(phase)) m->images.insert(job->spec.image);
   a->phase = phase;
-  if (!job->Live() && job->final_state != FinalState::kNone) StopAttempt(a, 0, now);
+  if (job->final_state != FinalState::kNone) StopAttempt(a, 0, now);
 }
 
 void Cluster::OnEnded(Attempt* a, wire::EndCause cause, double now) {
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -145,22 +145,27 @@
       }
     }
     if (job.spec.spread) {
-      const int most = static_cast<int>((job.spec.tasks + 1) / 2);
-      int here = 0;
-      if (const auto it = job.zone_counts.find(zone); it != job.zone_counts.end()) {
-        here += it->second;
-      }
-      if (const auto it = planned.find(zone); it != planned.end()) here += it->second;
-      if (here + 1 > most) return false;
+      if (SpreadRoom(job, zone, planned) < 1) return false;
     }
     return true;
   }
 
+  // How many more tasks of a spread job the zone may take.
+  static int SpreadRoom(const Job& job, const std::string& zone,
+                        const std::map<std::string, int>& planned) {
+    int room = static_cast<int>((job.spec.tasks + 1) / 2);
+    if (const auto it = job.zone_counts.find(zone); it != job.zone_counts.end()) {
+      room -= it->second;
+    }
+    if (const auto it = planned.find(zone); it != planned.end()) room -= it->second;
+    return room;
+  }
+
   bool MachineAllowed(const Job& job, const Machine& m) const {
     if (!c_.MachineUsable(m) || m.no_room_until > now_) return false;
     if (m.spot && !job.spec.spot) return false;
     if (!TypeAllowed(job, m.type_name)) return false;
-    return !job.failed_on.contains(m.id) || job.failed_on.size() >= 3;
+    return !job.failed_on.contains(m.id) || job.failed_on.size() >= kJobAtFault;
   }
 
   static Resources FreeOf(const Machine& m) {
@@ -325,10 +330,7 @@
     uint32_t index = job->first_pending;
     while (job->tasks[index] != TaskState::kPending) ++index;
     job->first_pending = index + 1;
-    Attempt* a = c_.AddAttempt(m, job, index, number, now_);
-    job->tasks[index] = TaskState::kActive;
-    --job->pending;
-    job->active[index] = a;
+    c_.Activate(c_.AddAttempt(m, job, index, number, now_));
   }
 
   // All tasks of the job must be in one zone: the one with most room for it.
@@ -500,13 +502,8 @@
         if (!ZoneAllowed(job, zone, planned)) continue;
         uint32_t tasks = left;
         if (job.spec.spread) {
-          int here = 0;
-          if (const auto it = job.zone_counts.find(zone); it != job.zone_counts.end()) {
-            here += it->second;
-          }
-          if (const auto it = planned.find(zone); it != planned.end()) here += it->second;
-          tasks = std::min(tasks, static_cast<uint32_t>(std::max(
-                                      0, static_cast<int>((job.spec.tasks + 1) / 2) - here)));
+          tasks =
+              std::min(tasks, static_cast<uint32_t>(std::max(0, SpreadRoom(job, zone, planned))));
         }
         if (tasks == 0) continue;
         for (const bool spot : {true, false}) {
@@ -589,13 +586,14 @@
   uint32_t SimilarBehind(const Job& job) const {
     uint32_t tasks = 0;
     if (job.spec.one_zone) return 0;
+    const bool patient = Patient(job);
     for (size_t i = next_; i < order_.size(); ++i) {
       const Job& other = *order_[i];
       if (other.spec.kind == job.spec.kind && other.spec.priority == job.spec.priority &&
           other.spec.cpus == job.spec.cpus && other.spec.gpus == job.spec.gpus &&
           other.spec.memory_gb == job.spec.memory_gb && other.spec.spot == job.spec.spot &&
           other.spec.types == job.spec.types && other.spec.zone == job.spec.zone &&
-          !other.spec.one_zone && Patient(other) == Patient(job)) {
+          !other.spec.one_zone && Patient(other) == patient) {
         tasks += other.pending;
       }
     }
--- a/tests/committer_test.cc
+++ b/tests/committer_test.cc
@@ -33,16 +33,7 @@
                                     std::unordered_map<std::string, uint64_t>(),
                                     Committer::Hooks{[] {}, [this] { fenced_ = true; }});
   }
-  bool Until(const std::function<bool()>& done) {
-    const double limit = net::SteadyNow() + 30;
-    while (!done()) {
-      if (net::SteadyNow() > limit) return false;
-      const timeval tick = net::ToTimeval(0.01);
-      event_base_loopexit(loop_.base(), &tick);
-      event_base_dispatch(loop_.base());
-    }
-    return true;
-  }
+  bool Until(const std::function<bool()>& done) { return testing::RunUntil(&loop_, done); }
   void Submit(const std::string& id) {
     std::string error;
     ASSERT_EQ(cluster_->Submit(testing::MakeJob(id), net::SteadyNow(), net::WallNow(), &error),
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -59,16 +59,21 @@
     std::string error;
     return cluster_->Submit(spec, now_, 1000 + now_, &error);
   }
-  // Reports the machine's tasks as given and applies the commands to them.
-  std::vector<wire::Command> Hello(const std::string& id,
-                                   std::map<std::string, wire::ReportedTask>* tasks) {
+  // The machine's next report, with no tasks yet.
+  wire::Report MakeReport(const std::string& id, uint64_t token) {
     wire::Report report;
     report.machine = id;
     report.type = "c4";
     report.zone = "a";
     report.session = 1;
     report.seq = ++seq_;
-    report.token = token_;
+    report.token = token;
+    return report;
+  }
+  // Reports the machine's tasks as given and applies the commands to them.
+  std::vector<wire::Command> Hello(const std::string& id,
+                                   std::map<std::string, wire::ReportedTask>* tasks) {
+    wire::Report report = MakeReport(id, token_);
     for (const auto& [name, task] : *tasks) report.tasks.push_back(task);
     const auto result = cluster_->OnReport(report, now_);
     EXPECT_FALSE(result.refuse);
@@ -152,13 +157,7 @@
   auto& task = tasks.begin()->second;
   task.phase = wire::TaskPhase::kEnded;
   task.cause = wire::EndCause::kDone;
-  wire::Report report;
-  report.machine = "i-1";
-  report.type = "c4";
-  report.zone = "a";
-  report.session = 1;
-  report.seq = ++seq_;
-  report.token = term_;
+  wire::Report report = MakeReport("i-1", term_);
   report.tasks = {task};
   EXPECT_TRUE(cluster_->OnReport(report, now_).commands.empty());
   EXPECT_NE(cluster_->View("req-1")->phase, wire::JobPhase::kDone);
@@ -294,13 +293,7 @@
   Store();
   Ready("i-1", &tasks);
   ASSERT_EQ(tasks.size(), 1U);
-  wire::Report report;
-  report.machine = "i-1";
-  report.type = "c4";
-  report.zone = "a";
-  report.session = 1;
-  report.seq = ++seq_;
-  report.token = term_;
+  wire::Report report = MakeReport("i-1", term_);
   report.notice_s = 5;
   report.tasks = {tasks.begin()->second};
   cluster_->OnReport(report, now_);
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -88,17 +88,7 @@
     return it->second.value["node"].get<std::string>()[1] - '0';
   }
 
-  // Runs the loop until `done` says so; the limit only ends a test that would hang.
-  bool Until(const std::function<bool()>& done) {
-    const double limit = net::SteadyNow() + 60;
-    while (!done()) {
-      if (net::SteadyNow() > limit) return false;
-      const timeval tick = net::ToTimeval(0.02);
-      event_base_loopexit(loop_.base(), &tick);
-      event_base_dispatch(loop_.base());
-    }
-    return true;
-  }
+  bool Until(const std::function<bool()>& done) { return RunUntil(&loop_, done); }
   net::Response Ask(int node, const char* method, const std::string& path,
                     const std::string& body = "") {
     bool done = false;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -32,6 +32,18 @@
   return out;
 }
 
+// Runs the loop until `done` says so; the limit only ends a test that would hang.
+inline bool RunUntil(net::EventLoop* loop, const std::function<bool()>& done) {
+  const double limit = net::SteadyNow() + 60;
+  while (!done()) {
+    if (net::SteadyNow() > limit) return false;
+    const timeval tick = net::ToTimeval(0.01);
+    event_base_loopexit(loop->base(), &tick);
+    event_base_dispatch(loop->base());
+  }
+  return true;
+}
+
 // Keys, transactions, leases and watches.
 class StandInStore {
  public:
