Controllers: health says who can serve; a cut off leader lets its workers go

Cause: /healthz was always 200, so users went on being sent to a node that could only answer 503 (connections between controllers refused, or cut). Change: each node pings the others twice in a leader's lease. A node that can't reach a leader which the state service shows, or that is cut off from both (silent, not refused: a filter or a dead process refuses, and a common outage must go on keeping work alive), is not healthy; a cut off leader stops answering workers, a cut off follower answers them 503. Tests: end to end with refused connections; the decisions in PeerLinks; elections through quick restarts with commits executed late, twice or unanswered, on a stand-in state service. That last one did not fail on the election as it was: the conditions on leader key and term hold, and a node that finds its own name gives that lease up.

--- a/src/election/elector.cc
+++ b/src/election/elector.cc
@@ -33,9 +33,9 @@
 
 }  // namespace
 
-Elector::Elector(net::EventLoop* loop, state::StoreClient* store, const config::Settings& settings,
+Elector::Elector(Timers* timers, state::LeaseStore* store, const config::Settings& settings,
                  const config::OperatorSettings& tuning, Hooks hooks)
-    : loop_(loop),
+    : timers_(timers),
       store_(store),
       node_(settings.node),
       lease_s_(std::max(1.0, tuning.leader_lease_share * settings.cancel_s)),
@@ -44,7 +44,7 @@
 void Elector::Start() { Look(); }
 
 void Elector::LookLater(double delay_s) {
-  loop_->StartTimer(&timer_, delay_s, [this] { Look(); });
+  timers_->After(Timers::kLook, delay_s, [this] { Look(); });
 }
 
 void Elector::Look() {
@@ -54,6 +54,9 @@
       [this](state::Outcome outcome, std::optional<wire::StoreItem> item, uint64_t revision) {
         if (leading_) return;
         (void)revision;
+        if (outcome == state::Outcome::kNotFound || outcome == state::Outcome::kOk) {
+          store_seen_at_ = timers_->Now();
+        }
         if (outcome == state::Outcome::kNotFound) return Campaign();
         if (outcome != state::Outcome::kOk) return LookLater(lease_s_ / kRenewals / 2);
         const auto record = ParseLeader(item->value);
@@ -87,7 +90,6 @@
   if (term > leader_term_) spdlog::info("{} leads term {}", node, term);
   leader_ = node;
   leader_term_ = term;
-  highest_seen_ = std::max(highest_seen_, term);
 }
 
 void Elector::Campaign() {
@@ -104,7 +106,7 @@
                   version = item->version;
                   if (item->value.is_number_unsigned()) term = item->value.get<uint64_t>();
                 }
-                const double asked_at = net::SteadyNow();
+                const double asked_at = timers_->Now();
                 store_->Grant(lease_s_, [this, term, version, asked_at](state::Outcome granted,
                                                                         uint64_t lease) {
                   if (leading_) return;
@@ -136,24 +138,24 @@
         valid_until_ = asked_at + lease_s_ * (1 - kSafety);
         spdlog::info("elected leader of term {}", term);
         Learn(node_, term);
-        loop_->StartTimer(&renew_timer_, lease_s_ / kRenewals, [this] { Renew(); });
+        timers_->After(Timers::kRenew, lease_s_ / kRenewals, [this] { Renew(); });
         hooks_.on_elected(term, {kLeaderKey, revision});
       });
 }
 
 void Elector::Renew() {
   if (!leading_) return;
-  loop_->StartTimer(&renew_timer_, lease_s_ / kRenewals, [this] { Renew(); });
+  timers_->After(Timers::kRenew, lease_s_ / kRenewals, [this] { Renew(); });
   if (renewing_) return;
   renewing_ = true;
-  const double asked_at = net::SteadyNow();
+  const double asked_at = timers_->Now();
   const uint64_t lease = lease_;
   store_->Renew(lease, lease_s_ / kRenewals * 2,
                 [this, lease, asked_at](state::Outcome outcome, uint64_t) {
                   if (!leading_ || lease != lease_) return;
                   renewing_ = false;
                   if (outcome == state::Outcome::kOk) {
-                    if (net::SteadyNow() >= valid_until_) {
+                    if (timers_->Now() >= valid_until_) {
                       spdlog::info("the lease of term {} is valid again", term_);
                     }
                     valid_until_ = std::max(valid_until_, asked_at + lease_s_ * (1 - kSafety));
@@ -169,7 +171,7 @@
   if (!leading_) return;
   spdlog::info("no longer leader of term {}: {}", term_, why);
   leading_ = false;
-  renew_timer_.Cancel();
+  timers_->Cancel(Timers::kRenew);
   store_->Revoke(lease_);
   if (leader_ == node_) leader_.clear();
   hooks_.on_lost();
@@ -177,13 +179,12 @@
 }
 
 void Elector::OnTermSeen(uint64_t term) {
-  highest_seen_ = std::max(highest_seen_, term);
   if (leading_ && term > term_) Lose("a higher term was seen");
 }
 
 void Elector::OnLeaderNotice(const std::string& node, uint64_t term) {
   OnTermSeen(term);
-  if (!leading_) Learn(node, term);
+  if (!leading_ && !node.empty()) Learn(node, term);
 }
 
 void Elector::OnFenced() { Lose("a commit was fenced off"); }
--- a/src/election/elector.h
+++ b/src/election/elector.h
@@ -3,12 +3,15 @@
 #ifndef ZINCLEAD_ELECTION_ELECTOR_H_
 #define ZINCLEAD_ELECTION_ELECTOR_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "config/operator_settings.h"
 #include "config/settings.h"
+#include "net/event_loop.h"
 #include "state/store_client.h"
 
 namespace zinclead::election {
@@ -16,13 +19,38 @@
 inline constexpr char kLeaderKey[] = "zinclead/leader";
 inline constexpr char kTermKey[] = "zinclead/term";
 
+// Clock and timers; tests pass their own.
+class Timers {
+ public:
+  enum Slot { kLook, kRenew };
+  virtual ~Timers() = default;
+  virtual double Now() = 0;
+  // One timer a slot: the later call replaces the earlier one.
+  virtual void After(Slot slot, double delay_s, std::function<void()> task) = 0;
+  virtual void Cancel(Slot slot) = 0;
+};
+
+class LoopTimers : public Timers {
+ public:
+  explicit LoopTimers(net::EventLoop* loop) : loop_(loop) {}
+  double Now() override { return net::SteadyNow(); }
+  void After(Slot slot, double delay_s, std::function<void()> task) override {
+    loop_->StartTimer(&timers_[slot], delay_s, std::move(task));
+  }
+  void Cancel(Slot slot) override { timers_[slot].Cancel(); }
+
+ private:
+  net::EventLoop* loop_;
+  std::array<net::EventLoop::Timer, 2> timers_;
+};
+
 class Elector {
  public:
   struct Hooks {
     std::function<void(uint64_t term, wire::StoreCondition fence)> on_elected;
     std::function<void()> on_lost;
   };
-  Elector(net::EventLoop* loop, state::StoreClient* store, const config::Settings& settings,
+  Elector(Timers* timers, state::LeaseStore* store, const config::Settings& settings,
           const config::OperatorSettings& tuning, Hooks hooks);
 
   void Start();
@@ -35,6 +63,10 @@
   double valid_until() const { return valid_until_; }
   uint64_t term() const { return term_; }
 
+  double lease_s() const { return lease_s_; }
+  // When the state service last answered, while not leading.
+  double store_seen_at() const { return store_seen_at_; }
+
   // The newest leader known, from the store or from a peer. Empty: none.
   const std::string& leader() const { return leader_; }
   uint64_t leader_term() const { return leader_term_; }
@@ -56,13 +88,12 @@
   void Lose(const char* why);
   void Learn(const std::string& node, uint64_t term);
 
-  net::EventLoop* loop_;
-  state::StoreClient* store_;
+  Timers* timers_;
+  state::LeaseStore* store_;
   const std::string node_;
   const double lease_s_;
   Hooks hooks_;
-  net::EventLoop::Timer timer_;
-  net::EventLoop::Timer renew_timer_;
+  double store_seen_at_ = 0;
   bool leading_ = false;
   bool renewing_ = false;
   uint64_t lease_ = 0;
@@ -70,7 +101,6 @@
   double valid_until_ = 0;
   std::string leader_;
   uint64_t leader_term_ = 0;
-  uint64_t highest_seen_ = 0;
 };
 
 }  // namespace zinclead::election
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -22,7 +22,7 @@
 Leader::Leader(net::EventLoop* loop, const config::Settings& settings,
                const config::OperatorSettings& tuning, state::StoreClient* store,
                cloud::CloudClient* cloud, election::Elector* elector, SchedulerState* scheduler,
-               uint64_t term, wire::StoreCondition fence)
+               uint64_t term, wire::StoreCondition fence, std::function<bool()> isolated)
     : loop_(loop),
       settings_(settings),
       tuning_(tuning),
@@ -32,6 +32,7 @@
       scheduler_(scheduler),
       term_(term),
       fence_(std::move(fence)),
+      isolated_(std::move(isolated)),
       cluster_(std::make_unique<core::Cluster>(settings, tuning, term, net::SteadyNow(),
                                                net::WallNow(), std::random_device()())) {
   load_started_ = net::SteadyNow();
@@ -93,8 +94,12 @@
 
 // The answer of a leader may be given while its lease is valid; workers' leases are kept up for a
 // while longer, so that a common outage of the state service kills no running work.
+// But one that has lost the other controllers too is alone in that, and has a successor by now: as
+// long as it answered them its workers would not go there, and all that it led would wait for them.
 bool Leader::Entitled(double now) const {
-  return loaded_ && now < elector_->valid_until() + core::Cluster::KeepAliveLimit(settings_);
+  if (!loaded_) return false;
+  if (now < elector_->valid_until()) return true;
+  return now < elector_->valid_until() + core::Cluster::KeepAliveLimit(settings_) && !isolated_();
 }
 
 void Leader::Tick() {
--- a/src/service/leader.h
+++ b/src/service/leader.h
@@ -44,7 +44,7 @@
   Leader(net::EventLoop* loop, const config::Settings& settings,
          const config::OperatorSettings& tuning, state::StoreClient* store,
          cloud::CloudClient* cloud, election::Elector* elector, SchedulerState* scheduler,
-         uint64_t term, wire::StoreCondition fence);
+         uint64_t term, wire::StoreCondition fence, std::function<bool()> isolated);
   ~Leader();
   Leader(const Leader&) = delete;
   Leader& operator=(const Leader&) = delete;
@@ -84,6 +84,7 @@
   SchedulerState* scheduler_;
   const uint64_t term_;
   const wire::StoreCondition fence_;
+  const std::function<bool()> isolated_;    // this node has lost the state service and all peers
   std::unique_ptr<core::Cluster> cluster_;  // guarded by scheduler_->mutex once loaded
   std::unique_ptr<state::Committer> committer_;
   std::unordered_map<std::string, uint64_t> versions_;
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -12,6 +12,14 @@
 constexpr size_t kPeerQueue = 64;
 // Of the time that the caller waits, what a forwarded call may take.
 constexpr double kForwardShare = 0.75;
+// Pings to each peer in the life of the leader's lease.
+constexpr double kPingsPerLease = 2;
+// A call that failed after this share of its time ran out of it; before, it was refused.
+constexpr double kSilentShare = 0.9;
+// Leader's leases after which a node that reaches no peer counts as cut off, and after which a
+// leader that can't be reached, or a state service that doesn't answer, counts as lost.
+constexpr double kSilentLeases = 1.5;
+constexpr double kLostLeases = 3;
 
 net::Response BadRequest(const std::string& why) { return {400, 0, wire::ErrorBody(why)}; }
 net::Response NotFound() { return {404, 0, wire::ErrorBody("no such path")}; }
@@ -24,11 +32,13 @@
       tuning_(tuning),
       store_(&loop_, settings_),
       cloud_(&loop_, settings_),
+      election_timers_(&loop_),
       elector_(
-          &loop_, &store_, settings_, tuning_,
+          &election_timers_, &store_, settings_, tuning_,
           {[this](uint64_t term, const wire::StoreCondition& fence) { OnElected(term, fence); },
            [this] { OnLost(); }}) {
   for (const config::Peer& peer : settings_.peers) {
+    links_.Add(peer.node);
     peers_[peer.node].client =
         std::make_unique<net::HttpClient>(&loop_, peer.address.host, peer.address.port,
                                           kPeerConnections, kPeerQueue, 8 * wire::kMaxBody);
@@ -60,6 +70,7 @@
 void Node::Run() {
   scheduler_thread_ = std::thread([this] { SchedulerThread(); });
   elector_.Start();
+  PingPeers();
   loop_.Run();
 }
 
@@ -91,37 +102,70 @@
 }
 
 void Node::OnElected(uint64_t term, const wire::StoreCondition& fence) {
-  leader_ = std::make_unique<Leader>(&loop_, settings_, tuning_, &store_, &cloud_, &elector_,
-                                     &scheduler_, term, fence);
-  TellPeers();
+  leader_ =
+      std::make_unique<Leader>(&loop_, settings_, tuning_, &store_, &cloud_, &elector_, &scheduler_,
+                               term, fence, [this] { return Isolated(StandingNow()); });
+  PingPeers();
 }
 
 void Node::OnLost() { leader_.reset(); }
 
 // A leader that lost the state service, and only that, hears of its successor from the successor.
-void Node::TellPeers() {
-  if (!elector_.leading()) return;
-  const uint64_t term = elector_.term();
+// And each node sees whether it can reach the others.
+void Node::PingPeers() {
+  loop_.StartTimer(&peer_timer_, elector_.lease_s() / kPingsPerLease, [this] { PingPeers(); });
+  const wire::LeaderNotice notice{elector_.leading() ? settings_.node : std::string(),
+                                  elector_.leader_term()};
+  const std::string body = ToJson(notice).dump();
   for (auto& [name, peer] : peers_) {
-    if (peer.told_term == term) continue;
-    PeerLink* link = &peer;
-    link->client->Call("POST", std::string(wire::kPeerLeaderPath),
-                       ToJson(wire::LeaderNotice{settings_.node, term}).dump(), settings_.report_s,
-                       [this, link, term](const net::Response& response) {
-                         if (response.status != 200) return;
-                         link->told_term = term;
-                         if (const auto answer = wire::ParseLeaderNotice(response.body)) {
-                           elector_.OnTermSeen(answer->term);
-                         }
-                       });
+    if (std::exchange(peer.pinged, true)) continue;
+    CallPeer(name, wire::kPeerLeaderPath, body, elector_.lease_s(),
+             [this, raw = &peer](const net::Response& response) {
+               raw->pinged = false;
+               if (response.status != 200) return;
+               if (const auto answer = wire::ParseLeaderNotice(response.body)) {
+                 elector_.OnLeaderNotice(answer->node, answer->term);
+               }
+             });
   }
-  loop_.StartTimer(&peer_timer_, settings_.report_s, [this] { TellPeers(); });
+}
+
+void Node::CallPeer(const std::string& name, std::string_view path, std::string body,
+                    double timeout_s, net::HttpClient::Callback done) {
+  const double began = net::SteadyNow();
+  peers_.at(name).client->Call(
+      "POST", std::string(path), std::move(body), timeout_s,
+      [this, name, began, timeout_s, done = std::move(done)](net::Response response) {
+        if (response.status == 0) {
+          links_.OnFailure(name, began, net::SteadyNow() - began >= kSilentShare * timeout_s);
+        } else {
+          links_.OnAnswer(name);
+        }
+        done(std::move(response));
+      });
+}
+
+Standing Node::StandingNow() const {
+  const double now = net::SteadyNow();
+  const double lease_s = elector_.lease_s();
+  Standing standing;
+  standing.leading = leader_ != nullptr;
+  standing.lease_valid = elector_.Valid(now);
+  standing.leader_known = peers_.contains(elector_.leader());
+  // By then a leader that ended has a successor, and that would be known.
+  standing.leader_unreachable =
+      standing.leader_known && links_.Unreachable(elector_.leader(), now, kLostLeases * lease_s);
+  // A watch is open for two leases.
+  standing.store_seen = now - elector_.store_seen_at() < kLostLeases * lease_s;
+  standing.peers_silent = links_.AllSilent(now, kSilentLeases * lease_s);
+  return standing;
 }
 
 void Node::OnPublic(const net::ServerRequest& request, const net::ResponderPtr& responder) {
   const Reply reply = [responder](const net::Response& response) { responder->Send(response); };
   if (request.path == wire::kHealthPath) {
     if (request.method != "GET") return reply(WrongMethod());
+    if (!Healthy(StandingNow())) return reply(TryLater("this node can't serve now"));
     return reply({200, 0, "{}"});
   }
   if (request.path == wire::kReportPath) {
@@ -138,7 +182,10 @@
     if (!notice) return responder->Send(BadRequest("malformed notice"));
     elector_.OnLeaderNotice(notice->node, notice->term);
     return responder->Send(
-        {200, 0, ToJson(wire::LeaderNotice{elector_.leader(), elector_.leader_term()}).dump()});
+        {200, 0,
+         ToJson(wire::LeaderNotice{elector_.leading() ? settings_.node : std::string(),
+                                   elector_.leader_term()})
+             .dump()});
   }
   if (request.path != wire::kPeerForwardPath) return responder->Send(NotFound());
   const auto call = wire::ParseForwardedRequest(request.body);
@@ -207,6 +254,8 @@
   if (forwarded) return reply(TryLater("not the leader"));
   const std::string& leader = elector_.leader();
   if (leader.empty() || !peers_.contains(leader)) return reply(TryLater("no leader"));
+  // What it knows of the leader may be long out of date.
+  if (Isolated(StandingNow())) return reply(TryLater("this node is cut off"));
   const double now = net::SteadyNow();
   const auto it = pointed_.find(report->machine);
   if (it != pointed_.end() && it->second > now) {
@@ -224,20 +273,19 @@
                    double timeout_s, const Reply& reply) {
   const auto peer = peers_.find(elector_.leader());
   if (peer == peers_.end()) return reply(TryLater("no leader"));
-  peer->second.client->Call(
-      "POST", std::string(wire::kPeerForwardPath),
-      ToJson(wire::ForwardedRequest{method, path, body, elector_.leader_term()})
-          .dump(-1, ' ', false, wire::Json::error_handler_t::replace),
-      timeout_s, [this, reply](const net::Response& response) {
-        if (response.status != 200) return reply(TryLater("the leader does not answer"));
-        const auto answer = wire::ParseForwardedResponse(response.body);
-        if (!answer) {
-          spdlog::error("malformed answer of a peer");
-          return reply(TryLater("the leader's answer is malformed"));
-        }
-        elector_.OnTermSeen(answer->term);
-        reply({answer->status, answer->retry_after_s, answer->body});
-      });
+  CallPeer(peer->first, wire::kPeerForwardPath,
+           ToJson(wire::ForwardedRequest{method, path, body, elector_.leader_term()})
+               .dump(-1, ' ', false, wire::Json::error_handler_t::replace),
+           timeout_s, [this, reply](const net::Response& response) {
+             if (response.status != 200) return reply(TryLater("the leader does not answer"));
+             const auto answer = wire::ParseForwardedResponse(response.body);
+             if (!answer) {
+               spdlog::error("malformed answer of a peer");
+               return reply(TryLater("the leader's answer is malformed"));
+             }
+             elector_.OnTermSeen(answer->term);
+             reply({answer->status, answer->retry_after_s, answer->body});
+           });
 }
 
 }  // namespace zinclead::service
--- a/src/service/node.h
+++ b/src/service/node.h
@@ -17,6 +17,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "service/leader.h"
+#include "service/peer_links.h"
 #include "state/store_client.h"
 
 namespace zinclead::service {
@@ -31,9 +32,9 @@
   void Run();
 
  private:
-  struct PeerLink {
+  struct Peer {
     std::unique_ptr<net::HttpClient> client;
-    uint64_t told_term = 0;
+    bool pinged = false;  // a ping is under way
   };
 
   void OnPublic(const net::ServerRequest& request, const net::ResponderPtr& responder);
@@ -44,7 +45,11 @@
   void Report(const std::string& body, bool forwarded, const Reply& reply);
   void Forward(const std::string& method, const std::string& path, const std::string& body,
                double timeout_s, const Reply& reply);
-  void TellPeers();
+  void PingPeers();
+  // Calls a peer and takes down what its answer, or its silence, says of it.
+  void CallPeer(const std::string& name, std::string_view path, std::string body, double timeout_s,
+                net::HttpClient::Callback done);
+  Standing StandingNow() const;
   void OnElected(uint64_t term, const wire::StoreCondition& fence);
   void OnLost();
   void SchedulerThread();
@@ -54,10 +59,12 @@
   net::EventLoop loop_;
   state::StoreClient store_;
   cloud::CloudClient cloud_;
+  election::LoopTimers election_timers_;
   election::Elector elector_;
   SchedulerState scheduler_;
   std::unique_ptr<Leader> leader_;
-  std::map<std::string, PeerLink> peers_;
+  std::map<std::string, Peer> peers_;
+  PeerLinks links_;
   // Workers that were pointed to the leader and until when they are handed on instead if they come
   // back: they can't reach it.
   std::unordered_map<std::string, double> pointed_;
--- a/src/state/store_client.h
+++ b/src/state/store_client.h
@@ -25,31 +25,47 @@
   kUnknown,    // no answer: it may have been executed, or may be later
 };
 
-class StoreClient {
+// What elections need of the state service.
+class LeaseStore {
  public:
-  StoreClient(net::EventLoop* loop, const config::Settings& settings);
+  virtual ~LeaseStore() = default;
 
   using GetDone = std::function<void(Outcome, std::optional<wire::StoreItem>, uint64_t revision)>;
-  void Get(const std::string& key, core::Importance importance, GetDone done);
-
-  using ListDone = std::function<void(Outcome, wire::StorePage)>;
-  void List(const std::string& prefix, const std::string& after, core::Importance importance,
-            ListDone done);
+  virtual void Get(const std::string& key, core::Importance importance, GetDone done) = 0;
 
   using CommitDone =
       std::function<void(Outcome, uint64_t revision, std::vector<std::string> failed)>;
-  void Commit(const std::vector<wire::StoreCondition>& conditions,
-              const std::vector<wire::StoreWrite>& writes, core::Importance importance,
-              CommitDone done);
+  virtual void Commit(const std::vector<wire::StoreCondition>& conditions,
+                      const std::vector<wire::StoreWrite>& writes, core::Importance importance,
+                      CommitDone done) = 0;
 
   using LeaseDone = std::function<void(Outcome, uint64_t lease)>;
-  void Grant(double ttl_s, LeaseDone done);
-  void Renew(uint64_t lease, double timeout_s, LeaseDone done);
-  void Revoke(uint64_t lease);
+  virtual void Grant(double ttl_s, LeaseDone done) = 0;
+  virtual void Renew(uint64_t lease, double timeout_s, LeaseDone done) = 0;
+  virtual void Revoke(uint64_t lease) = 0;
 
   // `done` gets kOk when something under the prefix changed or the time is over.
   using WatchDone = std::function<void(Outcome)>;
-  void Watch(const std::string& prefix, uint64_t after, double wait_s, WatchDone done);
+  virtual void Watch(const std::string& prefix, uint64_t after, double wait_s, WatchDone done) = 0;
+};
+
+class StoreClient : public LeaseStore {
+ public:
+  StoreClient(net::EventLoop* loop, const config::Settings& settings);
+
+  void Get(const std::string& key, core::Importance importance, GetDone done) override;
+
+  using ListDone = std::function<void(Outcome, wire::StorePage)>;
+  void List(const std::string& prefix, const std::string& after, core::Importance importance,
+            ListDone done);
+
+  void Commit(const std::vector<wire::StoreCondition>& conditions,
+              const std::vector<wire::StoreWrite>& writes, core::Importance importance,
+              CommitDone done) override;
+  void Grant(double ttl_s, LeaseDone done) override;
+  void Renew(uint64_t lease, double timeout_s, LeaseDone done) override;
+  void Revoke(uint64_t lease) override;
+  void Watch(const std::string& prefix, uint64_t after, double wait_s, WatchDone done) override;
 
   core::TokenBucket& write_tokens() { return write_tokens_; }
   uint64_t malformed_answers() const { return malformed_; }
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -50,7 +50,8 @@
   uint16_t Listen(int i) const { return ports_[static_cast<size_t>(i)]; }
   uint16_t Back(int i) const { return ports_[static_cast<size_t>(i) + 3]; }
 
-  void Start(int i) {
+  // `alone`: nothing listens where it is told to find the other nodes.
+  void Start(int i, bool alone = false) {
     const std::string path = ::testing::TempDir() + "zinclead-" + std::to_string(getpid()) + "-" +
                              std::to_string(i) + ".toml";
     std::ofstream f(path);
@@ -58,8 +59,8 @@
       << "\"\nback = \"127.0.0.1:" << Back(i) << "\"\n";
     for (int j = 0; j < 3; ++j) {
       if (j == i) continue;
-      f << "[[others]]\nnode = \"n" << j << "\"\nzone = \"a\"\naddress = \"127.0.0.1:" << Back(j)
-        << "\"\n";
+      f << "[[others]]\nnode = \"n" << j
+        << "\"\nzone = \"a\"\naddress = \"127.0.0.1:" << (alone ? 1 : Back(j)) << "\"\n";
     }
     f << "[endpoints]\ncloud = \"127.0.0.1:" << cloud_->port()
       << "\"\nstate = \"127.0.0.1:" << store_->port()
@@ -196,5 +197,19 @@
   EXPECT_EQ(PhaseOf(2, "req-000002"), "cancelled");
 }
 
+// Connections to the other controllers are refused, but the state service shows that one of them
+// leads: users are sent elsewhere until it can reach the leader.
+TEST_F(Cluster3, NodeThatCannotReachTheLeaderIsNotHealthy) {
+  ASSERT_TRUE(Until([&] { return Leader() >= 0; }));
+  const int follower = (Leader() + 1) % 3;
+  Kill(follower);
+  Start(follower, true);
+  ASSERT_TRUE(Until([&] { return Ask(follower, "GET", "/healthz").status == 503; }));
+  EXPECT_EQ(Ask(Leader(), "GET", "/healthz").status, 200);
+  Kill(follower);
+  Start(follower);
+  ASSERT_TRUE(Until([&] { return Ask(follower, "GET", "/healthz").status == 200; }));
+}
+
 }  // namespace
 }  // namespace zinclead::testing
--- /dev/null
+++ b/tests/elector_test.cc
@@ -0,0 +1,397 @@
+// Generated interleavings of elections: processes that end before, during and after their commit
+// and are back at once, with requests that are executed late, twice, or answered to nobody.
+
+#include "election/elector.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "fixtures.h"
+#include "service/peer_links.h"
+
+namespace zinclead::election {
+namespace {
+
+constexpr double kTimeout = 1;  // after which a caller gives a request up
+
+class Simulation {
+ public:
+  explicit Simulation(uint64_t seed) : random_(seed), settings_(testing::MakeSettings()) {}
+
+  void Run() {
+    for (int i = 0; i < 3; ++i) Start(i);
+    const double calm_at = 60;
+    double next_trouble = 1;
+    while (now_ < calm_at + 40) {
+      calm_ = now_ >= calm_at;
+      if (!calm_ && now_ >= next_trouble) {
+        Trouble();
+        next_trouble = now_ + Uniform(0.05, 3);
+      }
+      const double next = events_.empty() ? now_ + 0.05 : events_.begin()->first;
+      now_ = std::min(next, now_ + 0.05);
+      while (!events_.empty() && events_.begin()->first <= now_) {
+        auto task = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        task();
+      }
+      ExpireLeases();
+      Check();
+    }
+    int leading = 0;
+    for (const auto& node : nodes_) leading += node != nullptr && node->elector->Valid(now_);
+    EXPECT_EQ(leading, 1) << "no leader once the troubles are over";
+  }
+
+  size_t terms() const { return terms_.size(); }
+  int quick_restarts = 0;
+  int ended_electing = 0;  // a process ended while its election commit was under way
+  int executed_late = 0;   // ... and the commit was executed after that
+  int found_own_key = 0;   // a node found itself named as the leader that it was not
+
+ private:
+  struct Node;
+  class NodeTimers : public Timers {
+   public:
+    NodeTimers(Simulation* sim, std::shared_ptr<bool> alive)
+        : sim_(sim), alive_(std::move(alive)) {}
+    double Now() override { return sim_->now_; }
+    void After(Slot slot, double delay_s, std::function<void()> task) override {
+      const uint64_t number = ++armed_[slot];
+      sim_->At(delay_s, [this, alive = alive_, slot, number, task = std::move(task)] {
+        if (*alive && armed_[slot] == number) task();
+      });
+    }
+    void Cancel(Slot slot) override { ++armed_[slot]; }
+
+   private:
+    Simulation* sim_;
+    std::shared_ptr<bool> alive_;
+    std::array<uint64_t, 2> armed_{};
+  };
+
+  // One process' way to the state service.
+  class NodeStore : public state::LeaseStore {
+   public:
+    NodeStore(Simulation* sim, int node, std::shared_ptr<bool> alive)
+        : sim_(sim), node_(node), alive_(std::move(alive)) {}
+    void Get(const std::string& key, core::Importance, GetDone done) override {
+      struct Answer {
+        state::Outcome outcome;
+        std::optional<wire::StoreItem> item;
+      };
+      auto answer = std::make_shared<Answer>();
+      Send(
+          [this, key, answer] {
+            const auto it = sim_->keys_.find(key);
+            if (it == sim_->keys_.end()) {
+              answer->outcome = state::Outcome::kNotFound;
+            } else {
+              answer->outcome = state::Outcome::kOk;
+              answer->item = wire::StoreItem{key, it->second.value, it->second.version};
+              if (key == kLeaderKey && it->second.value["node"] == "n" + std::to_string(node_)) {
+                ++sim_->found_own_key;
+              }
+            }
+            return answer->outcome;
+          },
+          [answer, done](state::Outcome outcome) { done(outcome, answer->item, 0); });
+    }
+    void Commit(const std::vector<wire::StoreCondition>& conditions,
+                const std::vector<wire::StoreWrite>& writes, core::Importance,
+                CommitDone done) override {
+      auto revision = std::make_shared<uint64_t>(0);
+      ++electing;
+      Send(
+          [this, conditions, writes, revision] {
+            if (!*alive_) ++sim_->executed_late;
+            return sim_->Commit(conditions, writes, revision.get());
+          },
+          [this, revision, done](state::Outcome outcome) {
+            --electing;
+            done(outcome, *revision, {});
+          });
+    }
+    void Grant(double ttl_s, LeaseDone done) override {
+      auto lease = std::make_shared<uint64_t>(0);
+      Send(
+          [this, ttl_s, lease] {
+            *lease = ++sim_->last_lease_;
+            sim_->leases_[*lease] = {ttl_s, sim_->now_ + ttl_s};
+            return state::Outcome::kOk;
+          },
+          [lease, done](state::Outcome outcome) { done(outcome, *lease); });
+    }
+    void Renew(uint64_t lease, double, LeaseDone done) override {
+      Send(
+          [this, lease] {
+            const auto it = sim_->leases_.find(lease);
+            if (it == sim_->leases_.end()) return state::Outcome::kNotFound;
+            it->second.ends = sim_->now_ + it->second.ttl;
+            return state::Outcome::kOk;
+          },
+          [lease, done](state::Outcome outcome) { done(outcome, lease); });
+    }
+    void Revoke(uint64_t lease) override {
+      Send(
+          [this, lease] {
+            sim_->EndLease(lease);
+            return state::Outcome::kOk;
+          },
+          [](state::Outcome) {});
+    }
+    void Watch(const std::string&, uint64_t after, double wait_s, WatchDone done) override {
+      Poll(after, sim_->now_ + wait_s, std::move(done));
+    }
+    int electing = 0;
+
+   private:
+    // Executes with some delay, maybe late, twice or never, and answers the process if it still
+    // waits.
+    void Send(std::function<state::Outcome()> execute, std::function<void(state::Outcome)> answer) {
+      const auto finished = std::make_shared<bool>(false);
+      const auto reply = [this, alive = alive_, finished, answer](state::Outcome outcome) {
+        if (!*alive || std::exchange(*finished, true)) return;
+        answer(outcome);
+      };
+      sim_->At(kTimeout, [reply] { reply(state::Outcome::kUnknown); });
+      const bool rough = !sim_->calm_;
+      double delay = sim_->Uniform(0.002, 0.02);
+      if (rough && sim_->Chance(0.08)) delay = sim_->Uniform(0.1, 8);
+      const bool lost = rough && sim_->Chance(0.05);
+      if (rough && sim_->Chance(0.03)) {
+        sim_->At(delay + sim_->Uniform(0.01, 5), [execute] { execute(); });
+      }
+      sim_->At(delay, [this, execute, reply, lost] {
+        if (sim_->now_ < sim_->outage_until_ || sim_->now_ < sim_->refused_until_[node_]) {
+          return reply(state::Outcome::kRejected);
+        }
+        const state::Outcome outcome = execute();
+        if (!lost) sim_->At(sim_->Uniform(0.002, 0.02), [reply, outcome] { reply(outcome); });
+      });
+    }
+    void Poll(uint64_t after, double until, WatchDone done) {
+      sim_->At(0.02, [this, alive = alive_, after, until, done = std::move(done)]() mutable {
+        if (!*alive) return;
+        const bool out =
+            sim_->now_ < sim_->outage_until_ || sim_->now_ < sim_->refused_until_[node_];
+        if (sim_->now_ >= until || (!out && sim_->leader_changed_ > after)) {
+          return done(state::Outcome::kOk);
+        }
+        Poll(after, until, std::move(done));
+      });
+    }
+
+    Simulation* sim_;
+    int node_;
+    std::shared_ptr<bool> alive_;
+  };
+
+  struct Node {
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::unique_ptr<NodeTimers> timers;
+    std::unique_ptr<NodeStore> store;
+    std::unique_ptr<Elector> elector;
+  };
+  struct Key {
+    wire::Json value;
+    uint64_t version = 0;
+    uint64_t lease = 0;
+  };
+  struct Lease {
+    double ttl = 0;
+    double ends = 0;
+  };
+
+  double Uniform(double a, double b) { return std::uniform_real_distribution(a, b)(random_); }
+  bool Chance(double p) { return Uniform(0, 1) < p; }
+  void At(double delay, std::function<void()> task) {
+    events_.emplace(now_ + delay, std::move(task));
+  }
+
+  void Start(int i) {
+    auto node = std::make_unique<Node>();
+    node->timers = std::make_unique<NodeTimers>(this, node->alive);
+    node->store = std::make_unique<NodeStore>(this, i, node->alive);
+    config::Settings settings = settings_;
+    settings.node = "n" + std::to_string(i);
+    node->elector = std::make_unique<Elector>(
+        node->timers.get(), node->store.get(), settings, tuning_,
+        Elector::Hooks{[this](uint64_t term, const wire::StoreCondition&) {
+                         EXPECT_TRUE(terms_.insert(term).second) << "two leaders of one term";
+                         EXPECT_EQ(term, *terms_.rbegin()) << "a term that does not rise";
+                       },
+                       [] {}});
+    node->elector->Start();
+    nodes_[static_cast<size_t>(i)] = std::move(node);
+  }
+
+  void Trouble() {
+    const auto i = static_cast<int>(random_() % 3);
+    auto& node = nodes_[static_cast<size_t>(i)];
+    switch (random_() % 4) {
+      case 0:
+        outage_until_ = now_ + Uniform(0, 6);
+        for (auto& [id, lease] : leases_) lease.ends = outage_until_ + lease.ttl;
+        return;
+      case 1:
+        refused_until_[i] = now_ + Uniform(0, 10);
+        return;
+      default:
+        if (node == nullptr) return;
+        if (node->store->electing > 0) ++ended_electing;
+        *node->alive = false;
+        // What is on its way may still refer to it.
+        ended_.push_back(std::move(node));
+        if (Chance(0.7)) {
+          ++quick_restarts;
+          At(Uniform(0.01, 0.5), [this, i] { Start(i); });
+        } else {
+          At(Uniform(0.5, 6), [this, i] { Start(i); });
+        }
+    }
+  }
+
+  state::Outcome Commit(const std::vector<wire::StoreCondition>& conditions,
+                        const std::vector<wire::StoreWrite>& writes, uint64_t* revision) {
+    for (const auto& write : writes) {
+      if (write.lease && !leases_.contains(*write.lease)) return state::Outcome::kNoLease;
+    }
+    for (const auto& c : conditions) {
+      const auto it = keys_.find(c.key);
+      if ((it == keys_.end() ? 0 : it->second.version) != c.version) {
+        return state::Outcome::kConflict;
+      }
+    }
+    *revision = ++revision_;
+    for (const auto& write : writes) {
+      keys_[write.key] = {*write.value, revision_, write.lease.value_or(0)};
+      if (write.key == kLeaderKey) leader_changed_ = revision_;
+    }
+    return state::Outcome::kOk;
+  }
+  void EndLease(uint64_t lease) {
+    if (leases_.erase(lease) == 0) return;
+    const auto it = keys_.find(kLeaderKey);
+    if (it != keys_.end() && it->second.lease == lease) {
+      keys_.erase(it);
+      leader_changed_ = ++revision_;
+    }
+  }
+  void ExpireLeases() {
+    std::vector<uint64_t> over;
+    for (const auto& [id, lease] : leases_) {
+      if (now_ >= lease.ends) over.push_back(id);
+    }
+    for (const uint64_t id : over) EndLease(id);
+  }
+
+  // Who is sure to lead does: the key names it and its term.
+  void Check() {
+    int valid = 0;
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i] == nullptr || !nodes_[i]->elector->Valid(now_)) continue;
+      ++valid;
+      const auto key = keys_.find(kLeaderKey);
+      ASSERT_NE(key, keys_.end()) << "leads without the key at " << now_;
+      EXPECT_EQ(key->second.value["node"], "n" + std::to_string(i));
+      EXPECT_EQ(key->second.value["term"], nodes_[i]->elector->term());
+    }
+    EXPECT_LE(valid, 1);
+  }
+
+  std::mt19937_64 random_;
+  const config::Settings settings_;
+  const config::OperatorSettings tuning_;
+  double now_ = 0;
+  bool calm_ = false;
+  double outage_until_ = 0;
+  std::map<int, double> refused_until_;
+  std::multimap<double, std::function<void()>> events_;
+  std::map<std::string, Key> keys_;
+  std::map<uint64_t, Lease> leases_;
+  uint64_t revision_ = 0;
+  uint64_t leader_changed_ = 0;
+  uint64_t last_lease_ = 0;
+  std::set<uint64_t> terms_;
+  std::vector<std::unique_ptr<Node>> ended_;
+  std::array<std::unique_ptr<Node>, 3> nodes_;
+};
+
+TEST(Elector, OneLeaderATermThroughQuickRestartsAndLateCommits) {
+  const char* asked = std::getenv("ZINCLEAD_HISTORIES");
+  const uint64_t count = asked == nullptr ? 150 : std::strtoul(asked, nullptr, 10);
+  size_t terms = 0;
+  int quick = 0;
+  int electing = 0;
+  int late = 0;
+  int own = 0;
+  for (uint64_t seed = 1; seed <= count && !HasFailure(); ++seed) {
+    SCOPED_TRACE("history " + std::to_string(seed));
+    Simulation simulation(seed);
+    simulation.Run();
+    terms += simulation.terms();
+    quick += simulation.quick_restarts;
+    electing += simulation.ended_electing;
+    late += simulation.executed_late;
+    own += simulation.found_own_key;
+  }
+  // The histories reached what they are about.
+  EXPECT_GT(terms, 500U);
+  EXPECT_GT(quick, 500);
+  EXPECT_GT(electing, 20);
+  EXPECT_GT(late, 10);
+  EXPECT_GT(own, 100);
+}
+
+}  // namespace
+}  // namespace zinclead::election
+
+namespace zinclead::service {
+namespace {
+
+// Users were sent to nodes that could only answer 503, for as long as the trouble lasted.
+TEST(PeerLinks, HealthSaysWhetherTheNodeCanServe) {
+  PeerLinks links;
+  links.Add("a");
+  links.Add("b");
+  EXPECT_FALSE(links.Unreachable("a", 100, 3));
+  links.OnFailure("a", 10, true);
+  EXPECT_FALSE(links.AllSilent(20, 3)) << "b was never called";
+  links.OnFailure("b", 12, true);
+  EXPECT_FALSE(links.AllSilent(14, 3));
+  EXPECT_TRUE(links.AllSilent(15, 3));
+  links.OnFailure("b", 16, false);  // refused: something is there, or a packet filter
+  EXPECT_FALSE(links.AllSilent(30, 3));
+  EXPECT_TRUE(links.Unreachable("b", 30, 3));
+  links.OnAnswer("b");
+  EXPECT_FALSE(links.Unreachable("b", 30, 3));
+
+  Standing s;
+  s.leading = s.lease_valid = true;
+  s.peers_silent = true;
+  EXPECT_TRUE(Healthy(s)) << "it holds the lease, so it serves";
+  s.lease_valid = false;
+  EXPECT_TRUE(Isolated(s));
+  EXPECT_FALSE(Healthy(s));
+  s.peers_silent = false;
+  EXPECT_FALSE(Isolated(s)) << "a common outage: running work is kept up";
+  EXPECT_TRUE(Healthy(s)) << "an outage must not take all nodes out";
+  s = {};
+  EXPECT_TRUE(Healthy(s)) << "nothing is known yet";
+  s.leader_known = s.leader_unreachable = s.store_seen = true;
+  EXPECT_FALSE(Healthy(s));
+  s.store_seen = false;  // the leader may be gone, and the outage common
+  EXPECT_TRUE(Healthy(s));
+  s.peers_silent = true;
+  EXPECT_FALSE(Healthy(s)) << "cut off";
+}
+
+}  // namespace
+}  // namespace zinclead::service
