A lapsed leader concludes nothing from silence

A leader cut off with its zone took the machines of all other zones for gone after a lease and started their tasks on its own zone's machines, while its successor kept them alive. Shown by the cluster model once its old leaders take decisions too. Ruled out: deletions, late copies, clocks, two valid leases.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -247,7 +247,8 @@
   void OnMachineList(const std::vector<wire::ListedMachine>& machines, double now);
 
   // ---- decisions; run after changes and at the times NextWake names ----
-  Effects Schedule(double now);
+  // `lapsed`: as for OnReport.
+  Effects Schedule(double now, bool lapsed = false);
   // A whole pass costs time for each job and machine: when much changes, one serves many changes.
   double NextWake() const { return dirty_ ? std::min(next_wake_, pass_at_) : next_wake_; }
   bool NeedsSchedule() const { return dirty_; }
@@ -329,7 +330,8 @@
   void ApplyDone(Job* job, uint32_t first, const std::string& text);
 
   // scheduler.cc
-  void CheckMachines(double now, Effects* effects);
+  void CheckMachines(double now, bool lapsed, Effects* effects);
+  void SaveBeforeNotice(Machine* m, double now);
   void PlaceAndRent(double now);
   void FillMachine(Machine* m, double now);
   void SendRents(double now, Effects* effects);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -823,7 +823,25 @@
   }
 }
 
-void Cluster::CheckMachines(double now, Effects* effects) {
+// Work that saves is told to while there is time for it; the rest runs on to the end.
+void Cluster::SaveBeforeNotice(Machine* m, double now) {
+  if (!m->notice_at || m->deleting) return;
+  for (auto& [key, a] : m->attempts) {
+    const double save_s = a->job->spec.save_s;
+    if (a->job->spec.checkpoint_s > 0 && !a->stop &&
+        *m->notice_at - now <= 2 * save_s + 2 * settings_.report_s) {
+      StopAttempt(a.get(), save_s, now);
+    }
+  }
+}
+
+void Cluster::CheckMachines(double now, bool lapsed, Effects* effects) {
+  for (auto& [id, m] : machines_) SaveBeforeNotice(m.get(), now);
+  // A newer leader may keep alive, and use, what a lapsed one hears nothing of: a leader that was
+  // cut off with the machines of its zone took all others for gone after a lease, and ran their
+  // tasks a second time. So its silence proves nothing, and what seems idle or dead is not its to
+  // delete.
+  if (lapsed) return;
   // A worker whose answer got lost is silent for a report period, its patience and a second. After
   // a takeover nobody knows what is on a machine that is silent for longer. If services are missing
   // they may be there, and should not wait until its lease has ended for every earlier leader: a
@@ -894,18 +912,8 @@
       m->deleting = true;
     }
     if (m->retiring && !m->deleting && m->attempts.empty() && m->acknowledged) m->deleting = true;
-    if (m->notice_at && !m->deleting) {
-      // Work that saves is told to while there is time for it; the rest runs on to the end.
-      for (auto& [key, a] : m->attempts) {
-        const double save_s = a->job->spec.save_s;
-        if (a->job->spec.checkpoint_s > 0 && !a->stop &&
-            *m->notice_at - now <= 2 * save_s + 2 * settings_.report_s) {
-          StopAttempt(a.get(), save_s, now);
-        }
-      }
-      // Its end by the cloud can't be seen; an answered deletion can.
-      if (now >= *m->notice_at) m->deleting = true;
-    }
+    // Its end by the cloud can't be seen; an answered deletion can.
+    if (m->notice_at && now >= *m->notice_at) m->deleting = true;
     if (m->deleting && !m->delete_sent && m->delete_retry_at <= now) {
       m->delete_sent = true;
       effects->remove.push_back(id);
@@ -913,9 +921,9 @@
   }
 }
 
-Effects Cluster::Schedule(double now) {
+Effects Cluster::Schedule(double now, bool lapsed) {
   Effects effects;
-  CheckMachines(now, &effects);
+  CheckMachines(now, lapsed, &effects);
   CheckSettled();
   if (now >= pass_at_ && (dirty_ || now >= retry_at_)) PlaceAndRent(now);
   SendRents(now, &effects);
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -115,6 +115,7 @@
     it = list.empty() ? waiters_.erase(it) : std::next(it);
   }
   for (Waiter& waiter : late) waiter.reply(TryLater("the state service does not answer"));
+  AfterChange();
   PollCloud(now);
   if (now >= summary_at_) {
     summary_at_ = now + settings_.lease_s;
@@ -162,6 +163,7 @@
   bool write = false;
   {
     const std::lock_guard lock(scheduler_->mutex);
+    scheduler_->valid_until = elector_->valid_until();
     schedule = !scheduler_->sooner && cluster_->NextWake() < scheduler_->sleeps_until;
     write = cluster_->HasDirty();
     if (schedule) scheduler_->sooner = true;
--- a/src/service/leader.h
+++ b/src/service/leader.h
@@ -32,6 +32,7 @@
   std::mutex mutex;
   std::condition_variable wake;
   core::Cluster* cluster = nullptr;  // guarded by mutex; null: no term, or not loaded yet
+  double valid_until = 0;            // guarded by mutex; the leader's lease, as it knows it
   double sleeps_until = 0;           // guarded by mutex; the scheduler thread's next look
   bool sooner = false;               // guarded by mutex; it should look before that
   bool stop = false;                 // guarded by mutex
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -81,7 +81,7 @@
     double wait = settings_.report_s;
     if (scheduler_.cluster != nullptr) {
       if (scheduler_.cluster->NextWake() <= now) {
-        core::Effects effects = scheduler_.cluster->Schedule(now);
+        core::Effects effects = scheduler_.cluster->Schedule(now, now >= scheduler_.valid_until);
         const uint64_t term = scheduler_.cluster->term();
         if (!effects.empty() || scheduler_.cluster->HasDirty()) {
           lock.unlock();
--- a/tests/cluster_model_test.cc
+++ b/tests/cluster_model_test.cc
@@ -37,6 +37,7 @@
   int back_as_before = 0;      // a machine lost its tasks and went on with session and counter
   int back_anew = 0;           // the same, but everything began anew, the token too
   int lapsed_answers = 0;      // an old leader answered a worker
+  int zone_cuts = 0;           // an old leader was cut off with the machines of a zone
 };
 Coverage coverage;
 
@@ -107,6 +108,10 @@
     double valid_until = 0;
     double cut_until = 0;
     bool alive = true;
+    // Cut off with a zone, from everything else: hears its workers alone, and no cloud.
+    std::string zone;
+    double zone_until = 0;
+    bool ZoneCut(double now) const { return now < zone_until; }
   };
   struct Told {
     wire::JobSpec spec;
@@ -130,6 +135,11 @@
       Node& old = nodes_.back();
       old.valid_until = std::min(old.valid_until, now_);
       old.alive = old.alive && Chance(0.6);
+      if (old.alive && Chance(0.5)) {
+        ++coverage.zone_cuts;
+        old.zone = settings_.zones[random_() % settings_.zones.size()];
+        old.zone_until = now_ + Uniform(5, 45);
+      }
     }
     Node node;
     node.cluster =
@@ -243,11 +253,10 @@
       const bool current = i + 1 == nodes_.size();
       if (current && now_ >= store_out_until_) node.valid_until = now_ + 2;
       Commit(&node, current);
-      if (!current) continue;
-      if (node.cluster->NeedsSchedule() || node.cluster->NextWake() <= now_) {
-        Apply(&node, node.cluster->Schedule(now_));
+      if (node.cluster->NextWake() <= now_) {
+        Apply(&node, node.cluster->Schedule(now_, now_ >= node.valid_until));
       }
-      ReadAnswers(node);
+      if (current) ReadAnswers(node);
     }
   }
 
@@ -273,7 +282,7 @@
 
   void Apply(Node* node, const Effects& effects) {
     for (const auto& request : effects.rent) {
-      if (now_ < cloud_out_until_) {
+      if (now_ < cloud_out_until_ || node->ZoneCut(now_)) {
         node->cluster->OnRented(request.name, Cluster::RentOutcome::kUnknown, {}, now_);
         continue;
       }
@@ -302,8 +311,9 @@
                               lost ? std::vector<std::string>() : rented_[request.name], now_);
     }
     if (effects.remove.empty()) return;
-    const bool lost = now_ < cloud_out_until_ || (troubles_ && !calm_ && Chance(0.2));
-    if (now_ >= cloud_out_until_) {
+    const bool out = now_ < cloud_out_until_ || node->ZoneCut(now_);
+    const bool lost = out || (troubles_ && !calm_ && Chance(0.2));
+    if (!out) {
       for (const auto& id : effects.remove) {
         workers_.erase(id);
         deleted_.insert(id);
@@ -388,6 +398,12 @@
     // Mostly the present leader; sometimes one that does not know it is none any more.
     flight.to = nodes_.size() - 1;
     if (!calm_ && Chance(0.3)) flight.to = random_() % nodes_.size();
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].alive && nodes_[i].ZoneCut(now_) && nodes_[i].zone == w->zone) flight.to = i;
+    }
+    if (nodes_[flight.to].ZoneCut(now_) && nodes_[flight.to].zone != w->zone) {
+      flight.arrives_at = 1e18;
+    }
     if (troubles_ && !calm_ && Chance(0.05)) {
       ++coverage.overtaken;
       Flight copy = flight;
@@ -595,6 +611,7 @@
   EXPECT_GT(coverage.back_as_before, 100);
   EXPECT_GT(coverage.back_anew, 100);
   EXPECT_GT(coverage.lapsed_answers, 100);
+  EXPECT_GT(coverage.zone_cuts, 100);
 }
 
 }  // namespace
