Services go to zones that have a controller; followers are unhealthy sooner

A follower that could not reach the leader took three leases to say so. Ruled out: the time to notice (0.4 s after the lease), spare room elsewhere (arrays are stopped).

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -321,10 +321,16 @@
     // And they start soonest where their image is, or comes quickly.
     if (job->spec.kind == wire::JobKind::kService) {
       const double soon_s = StartWithin(*job) / 2;
+      const auto covered = [&](const Machine& m) { return Covered(m.zone); };
       const auto has_image = [&](const Machine& m) { return m.images.contains(job->spec.image); };
       const auto soon = [&](const Machine& m) {
         return job->spec.image_gb <= soon_s * m.type->fetch_gb_per_s;
       };
+      PlaceOn(job,
+              [&](const Machine& m) { return covered(m) && m.services > 0 && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && soon(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && soon(m); });
       PlaceOn(job, [&](const Machine& m) { return m.services > 0 && has_image(m); });
       PlaceOn(job, has_image);
       PlaceOn(job, [&](const Machine& m) { return m.services > 0 && soon(m); });
@@ -377,6 +383,15 @@
     if (left > 0) Rent(*job, left, &planned);
   }
 
+  // A zone with a controller can be led from inside when it is cut off; in one without, all leases
+  // end. Services, which should never be down, go to the former as far as there is room.
+  bool Covered(const std::string& zone) const {
+    const auto& peers = c_.settings_.peers;
+    return zone == c_.settings_.zone ||
+           std::any_of(peers.begin(), peers.end(),
+                       [&](const config::Peer& peer) { return peer.zone == zone; });
+  }
+
   // How soon the job's class should start; without an objective, a report period.
   double StartWithin(const Job& job) const {
     for (const config::Objective& objective : c_.settings_.objectives) {
@@ -717,8 +732,13 @@
       const double a = rank(offer);
       const double b = rank(*best);
       constexpr double kWorthIt = 2.0;
+      const bool safer = job.spec.kind == wire::JobKind::kService &&
+                         Covered(offer.zone) != Covered(best->zone);
       bool better = false;
-      if (a != b) {
+      if (safer) {
+        better = Covered(offer.zone) ? offer.cost <= kWorthIt * best->cost
+                                     : best->cost > kWorthIt * offer.cost;
+      } else if (a != b) {
         const bool dear_a = offer.cost > kWorthIt * least;
         const bool dear_b = best->cost > kWorthIt * least;
         better = dear_a != dear_b ? dear_b : a < b;
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -154,7 +154,7 @@
   standing.leader_known = peers_.contains(elector_.leader());
   // By then a leader that ended has a successor, and that would be known.
   standing.leader_unreachable =
-      standing.leader_known && links_.Unreachable(elector_.leader(), now, kLostLeases * lease_s);
+      standing.leader_known && links_.Unreachable(elector_.leader(), now, kSilentLeases * lease_s);
   // A watch is open for two leases.
   standing.store_seen = now - elector_.store_seen_at() < kLostLeases * lease_s;
   standing.peers_silent = links_.AllSilent(now, kSilentLeases * lease_s);
