--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -37,7 +37,9 @@
 
 // Of the time that an array's objectives leave it before it must have a machine, the share that it
 // waits for room on spot machines and on those that exist; estimates are often wrong by half.
+// Where a time to finish is named there is none to lose: what is left is rarely known that well.
 constexpr double kPatienceShare = 0.7;
+constexpr double kFinishPatienceShare = 0.35;
 constexpr double kEstimateSlack = 1.5;
 
 }  // namespace
@@ -326,8 +328,7 @@
       const auto soon = [&](const Machine& m) {
         return job->spec.image_gb <= soon_s * m.type->fetch_gb_per_s;
       };
-      PlaceOn(job,
-              [&](const Machine& m) { return covered(m) && m.services > 0 && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && has_image(m); });
       PlaceOn(job, [&](const Machine& m) { return covered(m) && has_image(m); });
       PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && soon(m); });
       PlaceOn(job, [&](const Machine& m) { return covered(m) && soon(m); });
@@ -646,16 +647,20 @@
     }
     const double run_s = kEstimateSlack * job.spec.estimate_s;
     double start_by = std::numeric_limits<double>::max();
+    double share = kPatienceShare;
     if (job.spec.deadline_s) start_by = *job.spec.deadline_s - run_s;
     for (const config::Objective& objective : c_.settings_.objectives) {
       if (objective.job_class != job.spec.job_class || objective.within_s <= 0) continue;
       if (objective.kind == "wait") start_by = std::min(start_by, objective.within_s);
-      if (objective.kind == "finished") start_by = std::min(start_by, objective.within_s - run_s);
+      if (objective.kind == "finished") {
+        start_by = std::min(start_by, objective.within_s - run_s);
+        share = kFinishPatienceShare;
+      }
     }
     const double age_s = now_ - job.accepted_at;
     // Nobody says when it should be over: it waits for cheap room until it should have begun.
     if (start_by == std::numeric_limits<double>::max()) return age_s < c_.tuning_.begin_within_s;
-    return age_s < kPatienceShare * (start_by - ready_s);
+    return age_s < share * (start_by - ready_s);
   }
 
   static double ReadyTime(const Job& job, const wire::MachineType& type) {
@@ -732,8 +737,8 @@
       const double a = rank(offer);
       const double b = rank(*best);
       constexpr double kWorthIt = 2.0;
-      const bool safer = job.spec.kind == wire::JobKind::kService &&
-                         Covered(offer.zone) != Covered(best->zone);
+      const bool safer =
+          job.spec.kind == wire::JobKind::kService && Covered(offer.zone) != Covered(best->zone);
       bool better = false;
       if (safer) {
         better = Covered(offer.zone) ? offer.cost <= kWorthIt * best->cost
