--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -275,6 +275,8 @@
     case SubmitOutcome::kKnown:
       return reply({200, 0, wire::JobStatusBody(spec.id, view->phase)});
     case SubmitOutcome::kAccepted:
+      spdlog::debug("job {} taken in: {} tasks of {}", spec.id, spec.tasks, spec.job_class);
+      [[fallthrough]];
     case SubmitOutcome::kPendingStore:
       waiters_[spec.id].push_back(
           {std::move(reply), now + kPatienceShare * wire::kSubmitPatienceS, true});
