--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <random>
+#include <tuple>
 #include <utility>
 
 #include "core/cluster.h"
@@ -31,12 +32,22 @@
 constexpr int kDeafAnswers = 3;
 constexpr double kDeafShare = 0.5;
 
+// Services are moved from mostly empty machines so that those can go back. While one moves it is
+// down for about a report period and a second, so at most this share of all service time goes
+// there, and nothing moves where a single move would be more than kOneMoveShare of a lease's
+// service time.
+constexpr double kMoveShare = 0.003;
+constexpr double kOneMoveShare = 0.005;
+constexpr double kMostlyEmpty = 0.25;
+
 // Of a report period, the least time between two whole passes.
 constexpr double kPassShare = 0.05;
 
 // Of the time that an array's objectives leave it before it must have a machine, the share that it
 // waits for room on spot machines and on those that exist; estimates are often wrong by half.
+// Where a time to finish is named there is none to lose: what is left is rarely known that well.
 constexpr double kPatienceShare = 0.7;
+constexpr double kFinishPatienceShare = 0.35;
 constexpr double kEstimateSlack = 1.5;
 
 }  // namespace
@@ -53,6 +64,7 @@
     FindOpen();
     for (next_ = 0; next_ < order_.size();) PlaceJob(order_[next_++]);
     KeepSpareRoom();
+    GatherServices();
   }
 
   // Fills one machine, on which room was freed since the last whole pass: of what that pass looked
@@ -133,8 +145,7 @@
     std::vector<Job*> jobs;
     for (auto& [key, job] : c_.active_jobs_) {
       if (job->pending == 0 || !job->Live() || !job->stored || job->not_before > now_) continue;
-      // Tasks of inherited jobs may run on machines that have not been heard of yet.
-      if (!c_.settled_ && (job->inherited || Capped(*job))) continue;
+      if (!c_.settled_ && MayBeUnseen(*job)) continue;
       jobs.push_back(job);
     }
     // Oldest first within a priority. A job past its dispatch deadline has used up its place.
@@ -152,6 +163,25 @@
     return jobs;
   }
 
+  // Before the takeover is settled: whether tasks of the job, or of its team if that has a limit,
+  // may be on a machine that has not acknowledged the term. Nothing is on machines that it may not
+  // use.
+  bool MayBeUnseen(const Job& job) {
+    if (Capped(job)) return true;
+    if (!job.inherited) return false;
+    if (!unseen_known_) {
+      unseen_known_ = true;
+      for (const auto& [id, m] : c_.machines_) {
+        if (c_.Unseen(*m)) unseen_.emplace(m->type_name, m->zone, m->spot);
+      }
+    }
+    return std::any_of(unseen_.begin(), unseen_.end(), [&](const auto& offer) {
+      const auto& [type, zone, spot] = offer;
+      return (job.spec.spot || !spot) && TypeAllowed(job, type) &&
+             (!job.spec.zone || *job.spec.zone == zone);
+    });
+  }
+
   // Strict priority would let a stream of better work keep a job from ever beginning: one of which
   // nothing has started for too long goes ahead of all but production.
   bool Overdue(const Job& job) const {
@@ -302,10 +332,15 @@
     // And they start soonest where their image is, or comes quickly.
     if (job->spec.kind == wire::JobKind::kService) {
       const double soon_s = StartWithin(*job) / 2;
+      const auto covered = [&](const Machine& m) { return Covered(m.zone); };
       const auto has_image = [&](const Machine& m) { return m.images.contains(job->spec.image); };
       const auto soon = [&](const Machine& m) {
         return job->spec.image_gb <= soon_s * m.type->fetch_gb_per_s;
       };
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && soon(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && soon(m); });
       PlaceOn(job, [&](const Machine& m) { return m.services > 0 && has_image(m); });
       PlaceOn(job, has_image);
       PlaceOn(job, [&](const Machine& m) { return m.services > 0 && soon(m); });
@@ -358,6 +393,15 @@
     if (left > 0) Rent(*job, left, &planned);
   }
 
+  // A zone with a controller can be led from inside when it is cut off; in one without, all leases
+  // end. Services, which should never be down, go to the former as far as there is room.
+  bool Covered(const std::string& zone) const {
+    const auto& peers = c_.settings_.peers;
+    return zone == c_.settings_.zone ||
+           std::any_of(peers.begin(), peers.end(),
+                       [&](const config::Peer& peer) { return peer.zone == zone; });
+  }
+
   // How soon the job's class should start; without an objective, a report period.
   double StartWithin(const Job& job) const {
     for (const config::Objective& objective : c_.settings_.objectives) {
@@ -403,6 +447,7 @@
       if (now_ - job->accepted_at < kSpareWindowBoots * boot_s) recent += job->spec.tasks;
     }
     if (latest == nullptr) {
+      c_.spare_surplus_ = std::numeric_limits<int>::max() / 2;  // none is wanted
       for (auto& [id, m] : c_.machines_) m->spare_fit = 0;
       return;
     }
@@ -432,6 +477,78 @@
     if (left > 0) Rent(probe, left, &planned);
   }
 
+  // Machines that arrays and services shared are left with a service or two when load falls, and
+  // cost as much as full ones (hljod grown steady from 565 s on: 80 machines for 460 CPUs, later 48
+  // for 108).
+  void GatherServices() {
+    if (!c_.settled_ || now_ < c_.move_at_) return;
+    double services = 0;
+    for (const auto& [key, job] : c_.active_jobs_) {
+      if (job->spec.kind != wire::JobKind::kService || !job->Live()) continue;
+      if (job->pending > 0 || job->running < job->spec.tasks) return;  // one thing after the other
+      services += job->spec.tasks;
+    }
+    const double move_s = c_.settings_.report_s + 1;
+    if (services * c_.settings_.lease_s * kOneMoveShare < move_s) return;
+    Machine* source = nullptr;
+    for (auto& [id, m] : c_.machines_) {
+      if (m->draining && !m->deleting) {
+        source = m.get();
+        break;
+      }
+      if (!Emptyable(*m) || c_.spare_surplus_ < m->spare_fit + m->services) continue;
+      if (source == nullptr || m->used.cpus < source->used.cpus) source = m.get();
+    }
+    if (source == nullptr) return;
+    if (!source->draining) {
+      std::map<std::string, Resources> taken;
+      for (const auto& [key, a] : source->attempts) {
+        if (!FindPlaceToMove(*a, &taken)) return;
+      }
+      source->draining = source->retiring = true;
+    }
+    std::map<std::string, Resources> taken;
+    for (const auto& [key, a] : source->attempts) {
+      if (a->stop || !FindPlaceToMove(*a, &taken)) continue;
+      c_.StopAttempt(a.get(), 0, now_);
+      c_.move_at_ = now_ + move_s / (kMoveShare * services);
+      return;
+    }
+  }
+
+  bool Emptyable(const Machine& m) const {
+    if (!c_.MachineUsable(m) || m.services == 0 ||
+        static_cast<size_t>(m.services) != m.attempts.size() ||
+        m.used.cpus > kMostlyEmpty * m.capacity.cpus) {
+      return false;
+    }
+    return std::all_of(m.attempts.begin(), m.attempts.end(), [&](const auto& entry) {
+      const Attempt& a = *entry.second;
+      return a.phase == AttemptPhase::kRunning && !a.stop && a.job->spec.checkpoint_s == 0 &&
+             now_ - a.running_since > 2 * c_.settings_.lease_s;
+    });
+  }
+
+  // A machine beside other services where the task could start at once. What is found is added to
+  // `taken`.
+  bool FindPlaceToMove(const Attempt& a, std::map<std::string, Resources>* taken) const {
+    const Job& job = *a.job;
+    if (job.spec.one_zone) return false;
+    const std::map<std::string, int> leaves{{a.machine->zone, -1}};
+    for (const auto& [id, m] : c_.machines_) {
+      if (m.get() == a.machine || m->services == 0 || !m->images.contains(job.spec.image) ||
+          m->used.cpus <= a.machine->used.cpus || !MachineAllowed(job, *m)) {
+        continue;
+      }
+      Resources free = FreeOf(*m);
+      free -= (*taken)[id];
+      if (!job.need.Fits(free) || !ZoneAllowed(job, m->zone, leaves)) continue;
+      (*taken)[id] += job.need;
+      return true;
+    }
+    return false;
+  }
+
   // What arrays of lesser priority hold of the machine.
   static Resources LesserArrays(const Machine& m, wire::Priority priority) {
     Resources sum;
@@ -612,16 +729,20 @@
     }
     const double run_s = kEstimateSlack * job.spec.estimate_s;
     double start_by = std::numeric_limits<double>::max();
+    double share = kPatienceShare;
     if (job.spec.deadline_s) start_by = *job.spec.deadline_s - run_s;
     for (const config::Objective& objective : c_.settings_.objectives) {
       if (objective.job_class != job.spec.job_class || objective.within_s <= 0) continue;
       if (objective.kind == "wait") start_by = std::min(start_by, objective.within_s);
-      if (objective.kind == "finished") start_by = std::min(start_by, objective.within_s - run_s);
+      if (objective.kind == "finished") {
+        start_by = std::min(start_by, objective.within_s - run_s);
+        share = kFinishPatienceShare;
+      }
     }
     const double age_s = now_ - job.accepted_at;
     // Nobody says when it should be over: it waits for cheap room until it should have begun.
     if (start_by == std::numeric_limits<double>::max()) return age_s < c_.tuning_.begin_within_s;
-    return age_s < kPatienceShare * (start_by - ready_s);
+    return age_s < share * (start_by - ready_s);
   }
 
   static double ReadyTime(const Job& job, const wire::MachineType& type) {
@@ -698,8 +819,13 @@
       const double a = rank(offer);
       const double b = rank(*best);
       constexpr double kWorthIt = 2.0;
+      const bool safer =
+          job.spec.kind == wire::JobKind::kService && Covered(offer.zone) != Covered(best->zone);
       bool better = false;
-      if (a != b) {
+      if (safer) {
+        better = Covered(offer.zone) ? offer.cost <= kWorthIt * best->cost
+                                     : best->cost > kWorthIt * offer.cost;
+      } else if (a != b) {
         const bool dear_a = offer.cost > kWorthIt * least;
         const bool dear_b = best->cost > kWorthIt * least;
         better = dear_a != dear_b ? dear_b : a < b;
@@ -795,6 +921,9 @@
   std::vector<Search> none_upcoming_;
   std::vector<Search> no_offer_;
   bool rented_out_ = false;  // no token for another rent request
+  // Type, zone and kind of the machines that have not acknowledged the term.
+  std::set<std::tuple<std::string, std::string, bool>> unseen_;
+  bool unseen_known_ = false;
   std::optional<std::string> one_zone_;
   std::map<std::string, Resources> claimed_;
   std::vector<Upcoming> upcoming_;
@@ -843,9 +972,10 @@
   // delete.
   if (lapsed) return;
   // A worker whose answer got lost is silent for a report period, its patience and a second. After
-  // a takeover nobody knows what is on a machine that is silent for longer. If services are missing
-  // they may be there, and should not wait until its lease has ended for every earlier leader: a
-  // deletion proves sooner that they are gone. When many are silent the trouble is on our side.
+  // a takeover nobody knows what is on a machine that is silent for longer. All that is inherited
+  // and not seen may be there, and should not wait until its lease has ended for every earlier
+  // leader (hljod grown rough: 50 s for 24 machines that had died): a deletion proves sooner that
+  // it is gone. When many are silent the trouble is on our side.
   const double silent_s = std::max(kSilentShare * settings_.lease_s,
                                    2 * settings_.report_s + wire::kReportPatienceS + 1);
   size_t up = 0;
@@ -863,11 +993,10 @@
   }
   const bool few_silent = silent <= 1 + up / 10;
   const bool few_deaf = deaf <= 1 + up / 10;
-  const bool services_missing =
+  const bool work_held_up =
       !settled_ && std::any_of(active_jobs_.begin(), active_jobs_.end(), [](const auto& entry) {
         const Job& job = *entry.second;
-        return job.spec.kind == wire::JobKind::kService && job.inherited && job.Live() &&
-               job.pending > 0;
+        return job.inherited && job.Live() && job.pending > 0;
       });
   const double lease = settings_.lease_s * (1 + 4 * kDrift) + settings_.report_s / 4;
   for (auto& [id, m] : machines_) {
@@ -891,7 +1020,7 @@
       m->retiring = true;
       m->deleting = true;
     }
-    if (few_silent && services_missing && m->stage == MachineStage::kUp && !m->acknowledged &&
+    if (few_silent && work_held_up && m->stage == MachineStage::kUp && !m->acknowledged &&
         !m->deleting && now - std::max(m->last_heard, started_at_) > silent_s) {
       m->retiring = true;
       m->deleting = true;
