Takeover: once all other controllers know the term, only the workers' lease is waited for

Change: the pings that controllers send each other show which of them know the new term. One that does leads no earlier term and never will; when all do, no earlier leader can keep a worker's lease alive, and a machine's session has ended one lease after that. Where one of them is silent, nothing changes. Ruled out: loading (0.03 s), refusals, the list of machines.

--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -36,6 +36,7 @@
       tuning_(tuning),
       term_(term),
       started_at_(now),
+      earlier_until_(now + KeepAliveLimit(settings)),
       wall_offset_(wall_now - now),
       random_(random_seed),
       rent_tokens_(settings.cloud_rps * tuning.rent_share,
@@ -487,6 +488,12 @@
   dirty_ = true;
 }
 
+void Cluster::OnEarlierLeadersEnded(double now) {
+  if (now >= earlier_until_) return;
+  earlier_until_ = now;
+  next_wake_ = now;
+}
+
 bool Cluster::MachineUsable(const Machine& m) const {
   return m.stage == MachineStage::kUp && m.may_hold_tasks && m.acknowledged && !m.session_gone &&
          !m.retiring && m.type != nullptr;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -238,6 +238,9 @@
   // may have ended, so a newer leader may exist.
   HelloResult OnReport(const wire::Report& report, double now, bool lapsed = false);
 
+  // Every other controller knows this term: none can answer workers for an earlier one any more.
+  void OnEarlierLeadersEnded(double now);
+
   // ---- cloud ----
   void OnMachineTypes(const std::vector<wire::MachineType>& types);
   bool HasMachineTypes() const { return !types_.empty(); }
@@ -350,6 +353,7 @@
   const config::OperatorSettings tuning_;
   const uint64_t term_;
   const double started_at_;
+  double earlier_until_;      // until then an earlier leader may keep leases alive
   const double wall_offset_;  // wall clock minus steady clock
   std::mt19937_64 random_;
   uint64_t next_serial_ = 1;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -1002,11 +1002,10 @@
   for (auto& [id, m] : machines_) {
     if (m->stage == MachineStage::kUp && !m->session_gone) {
       // Until the worker has seen this term an earlier leader may have kept its lease alive, for
-      // KeepAliveLimit after that leader's own lease, which ended before this term began.
+      // KeepAliveLimit after that leader's own lease, which ended before this term began, or until
+      // all other controllers knew this term.
       const double alive_until =
-          (m->acknowledged ? m->last_heard
-                           : std::max(m->last_heard, started_at_ + KeepAliveLimit(settings_))) +
-          lease;
+          (m->acknowledged ? m->last_heard : std::max(m->last_heard, earlier_until_)) + lease;
       if (now > alive_until) {
         m->session_gone = true;
         DropAllAttempts(m.get(), now);
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -82,6 +82,7 @@
       state::Committer::Hooks{[this] { OnStored(); },
                               [elector = elector_] { elector->OnFenced(); }});
   loaded_ = true;
+  if (peers_knowing_.size() == settings_.peers.size()) cluster_->OnEarlierLeadersEnded(now);
   spdlog::info("term {}: {} records loaded in {:.3f} s, {} active jobs, {} machines", term_,
                records_, now - load_started_, cluster_->ActiveJobs(), cluster_->machines().size());
   {
@@ -210,6 +211,16 @@
   AfterChange();
 }
 
+void Leader::OnPeerKnows(const std::string& peer) {
+  if (!peers_knowing_.insert(peer).second || !loaded_) return;
+  if (peers_knowing_.size() < settings_.peers.size()) return;
+  {
+    const std::lock_guard lock(scheduler_->mutex);
+    cluster_->OnEarlierLeadersEnded(net::SteadyNow());
+  }
+  AfterChange();
+}
+
 void Leader::OnStored() {
   std::vector<std::string> settled;
   {
--- a/src/service/leader.h
+++ b/src/service/leader.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,8 @@
 
   net::Response OnReport(const wire::Report& report);
   void Apply(const core::Effects& effects);
+  // A peer has shown that it knows this term; it leads no earlier one then, nor will it again.
+  void OnPeerKnows(const std::string& peer);
 
   bool loaded() const { return loaded_; }
   uint64_t term() const { return term_; }
@@ -90,6 +93,7 @@
   std::unique_ptr<state::Committer> committer_;
   std::unordered_map<std::string, uint64_t> versions_;
   std::unordered_map<std::string, std::vector<Waiter>> waiters_;
+  std::set<std::string> peers_knowing_;
   bool loaded_ = false;
   double load_started_ = 0;
   size_t records_ = 0;
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -120,11 +120,14 @@
   for (auto& [name, peer] : peers_) {
     if (std::exchange(peer.pinged, true)) continue;
     CallPeer(name, wire::kPeerLeaderPath, body, elector_.lease_s(),
-             [this, raw = &peer](const net::Response& response) {
+             [this, name = name, raw = &peer](const net::Response& response) {
                raw->pinged = false;
                if (response.status != 200) return;
-               if (const auto answer = wire::ParseLeaderNotice(response.body)) {
-                 elector_.OnLeaderNotice(answer->node, answer->term);
+               const auto answer = wire::ParseLeaderNotice(response.body);
+               if (!answer) return;
+               elector_.OnLeaderNotice(answer->node, answer->term);
+               if (leader_ != nullptr && answer->term >= leader_->term()) {
+                 leader_->OnPeerKnows(name);
                }
              });
   }
--- a/tests/cluster_model_test.cc
+++ b/tests/cluster_model_test.cc
@@ -37,6 +37,7 @@
   int back_as_before = 0;      // a machine lost its tasks and went on with session and counter
   int back_anew = 0;           // the same, but everything began anew, the token too
   int lapsed_answers = 0;      // an old leader answered a worker
+  int early_ends = 0;          // earlier leaders were known to have ended in a takeover
   int zone_cuts = 0;           // an old leader was cut off with the machines of a zone
 };
 Coverage coverage;
@@ -256,7 +257,14 @@
       if (node.cluster->NextWake() <= now_) {
         Apply(&node, node.cluster->Schedule(now_, now_ >= node.valid_until));
       }
-      if (current) ReadAnswers(node);
+      if (!current) continue;
+      ReadAnswers(node);
+      const auto old = nodes_.size() - 1;
+      if (std::none_of(nodes_.begin(), nodes_.begin() + static_cast<long>(old),
+                       [](const Node& other) { return other.alive; })) {
+        if (nodes_.size() > 1 && !node.cluster->settled()) ++coverage.early_ends;
+        node.cluster->OnEarlierLeadersEnded(now_);
+      }
     }
   }
 
@@ -612,6 +620,7 @@
   EXPECT_GT(coverage.back_anew, 100);
   EXPECT_GT(coverage.lapsed_answers, 100);
   EXPECT_GT(coverage.zone_cuts, 100);
+  EXPECT_GT(coverage.early_ends, 100);
 }
 
 }  // namespace
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -193,6 +193,24 @@
   EXPECT_TRUE(cluster_->settled());
 }
 
+// With all other controllers known to follow the term only the machine's lease is waited for.
+TEST_F(CoreTest, TakeoverIsShorterWhenNoEarlierLeaderIsLeft) {
+  std::map<std::string, wire::ReportedTask> tasks;
+  Submit(testing::MakeJob("req-1"));
+  Store();
+  Ready("i-1", &tasks);
+  ASSERT_EQ(tasks.size(), 1U);
+  Restart();
+  now_ += 1;
+  cluster_->OnEarlierLeadersEnded(now_);
+  now_ += settings_.lease_s - 0.5;
+  cluster_->Schedule(now_);
+  EXPECT_FALSE(cluster_->settled());
+  now_ += 1 + settings_.report_s;
+  cluster_->Schedule(now_);
+  EXPECT_TRUE(cluster_->settled());
+}
+
 // Found on days with a leader change: idle machines were kept for another minute, and late boots
 // began anew, because the new leader took its own start for the time of the rent.
 TEST_F(CoreTest, RentTimeOutlivesTheLeader) {
