--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -7,14 +7,16 @@
 
 namespace zinclead::cloud {
 namespace {
-constexpr size_t kConnections = 4;
+// Of the sockets that the node may have.
+constexpr double kSocketShare = 0.003;
 constexpr size_t kQueue = 64;
-constexpr size_t kMaxResponse = 1024 * 1024;
+constexpr size_t kMaxResponse = size_t{1024} * 1024;
 }  // namespace
 
 CloudClient::CloudClient(net::EventLoop* loop, const config::Settings& settings)
     : loop_(loop),
-      calls_(loop, settings.cloud.host, settings.cloud.port, kConnections, kQueue, kMaxResponse),
+      calls_(loop, settings.cloud.host, settings.cloud.port, settings.PoolSize(kSocketShare, 2),
+             kQueue, kMaxResponse),
       // A tenth is left for what a previous leader still has under way.
       tokens_(0.9 * settings.cloud_rps, 0.9 * settings.cloud_rps),
       timeout_s_(std::max(2.0, settings.report_s)) {}
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -2,6 +2,7 @@
 #ifndef ZINCLEAD_CONFIG_SETTINGS_H_
 #define ZINCLEAD_CONFIG_SETTINGS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -68,6 +69,10 @@
 
   size_t NodeCount() const { return peers.size() + 1; }
   const Team* FindTeam(const std::string& name) const;
+  // A pool of connections: a share of the sockets that the node may have, but at least so many.
+  size_t PoolSize(double share, size_t least) const {
+    return std::max(least, static_cast<size_t>(share * sockets));
+  }
   size_t ValueBytes() const { return static_cast<size_t>(state_value_kb * 1024); }
 };
 
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -78,7 +78,7 @@
   uint64_t job = 0;
   uint32_t index = 0;
   uint64_t number = 0;
-  auto operator<=>(const AttemptKey&) const = default;
+  auto operator<=>(const AttemptKey&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 enum class AttemptPhase : uint8_t { kPlaced, kFetching, kWaiting, kRunning, kSaving, kEnded };
@@ -325,8 +325,8 @@
 
   struct Dirty {
     Importance importance = Importance::kNormal;
-    uint64_t since = 0;  // counts
-    auto operator<=>(const Dirty&) const = default;
+    uint64_t since = 0;                              // counts
+    auto operator<=>(const Dirty&) const = default;  // NOLINT(modernize-use-nullptr)
   };
   void MarkDirty(const std::string& key, Importance importance);
   void Enqueue(const std::string& key, Dirty dirty);
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -31,7 +31,11 @@
   if (base_ == nullptr) throw std::runtime_error("cannot create the event loop");
   wake_ = event_new(
       base_, -1, EV_PERSIST,
-      [](evutil_socket_t, short, void* self) { static_cast<EventLoop*>(self)->Drain(); }, this);
+      // The type is libevent's.
+      [](evutil_socket_t, short, void* self) {
+        static_cast<EventLoop*>(self)->Drain();
+      },  // NOLINT(google-runtime-int)
+      this);
 }
 
 EventLoop::~EventLoop() {
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -8,7 +8,8 @@
 namespace zinclead::service {
 namespace {
 
-constexpr size_t kPeerConnections = 8;
+// Of the sockets that the node may have, what connections to all peers together may take.
+constexpr double kPeerSocketShare = 0.02;
 constexpr size_t kPeerQueue = 64;
 // Of the time that the caller waits, what a forwarded call may take.
 constexpr double kForwardShare = 0.75;
@@ -37,11 +38,12 @@
           &election_timers_, &store_, settings_, tuning_,
           {[this](uint64_t term, const wire::StoreCondition& fence) { OnElected(term, fence); },
            [this] { OnLost(); }}) {
+  const size_t connections =
+      settings_.PoolSize(kPeerSocketShare / static_cast<double>(settings_.NodeCount()), 2);
   for (const config::Peer& peer : settings_.peers) {
     links_.Add(peer.node);
-    peers_[peer.node].client =
-        std::make_unique<net::HttpClient>(&loop_, peer.address.host, peer.address.port,
-                                          kPeerConnections, kPeerQueue, 8 * wire::kMaxBody);
+    peers_[peer.node].client = std::make_unique<net::HttpClient>(
+        &loop_, peer.address.host, peer.address.port, connections, kPeerQueue, 8 * wire::kMaxBody);
   }
   // Kept-open connections of workers and users fall silent for a report or a poll, not for longer.
   const double idle_s = 4 * settings_.lease_s;
--- a/src/state/store_client.cc
+++ b/src/state/store_client.cc
@@ -8,10 +8,11 @@
 namespace zinclead::state {
 namespace {
 
-constexpr size_t kConnections = 6;
+// Of the sockets that the node may have.
+constexpr double kSocketShare = 0.005;
 constexpr size_t kQueue = 64;
 // A watch's answer has no size limit; ours watch one key. A listing's page is at most 512 KiB.
-constexpr size_t kMaxResponse = 1024 * 1024;
+constexpr size_t kMaxResponse = size_t{1024} * 1024;
 
 Outcome Classify(const net::Response& response) {
   switch (response.status) {
@@ -35,7 +36,8 @@
 
 StoreClient::StoreClient(net::EventLoop* loop, const config::Settings& settings)
     : loop_(loop),
-      calls_(loop, settings.state.host, settings.state.port, kConnections, kQueue, kMaxResponse),
+      calls_(loop, settings.state.host, settings.state.port, settings.PoolSize(kSocketShare, 3),
+             kQueue, kMaxResponse),
       watches_(loop, settings.state.host, settings.state.port, 2, kQueue, kMaxResponse),
       // All nodes share the service's limits. Only the leader writes much, so that it gets nearly
       // all of the writes; the rest is for elections.
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -539,8 +539,9 @@
 std::string TransactionBody(const std::vector<StoreCondition>& conditions,
                             const std::vector<StoreWrite>& writes) {
   Json when = Json::array();
-  for (const StoreCondition& c : conditions)
+  for (const StoreCondition& c : conditions) {
     when.push_back({{"path", c.key}, {"stamp", c.version}});
+  }
   Json then = Json::array();
   for (const StoreWrite& w : writes) {
     if (!w.value) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -16,7 +16,7 @@
 
 using Json = nlohmann::json;
 
-inline constexpr size_t kMaxBody = 64 * 1024;
+inline constexpr size_t kMaxBody = size_t{64} * 1024;
 inline constexpr uint32_t kMaxTasks = 100'000;
 // How long users and workers wait for an answer, in seconds.
 inline constexpr double kSubmitPatienceS = 5;
