--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -29,13 +29,12 @@
   evthread_use_pthreads();
   base_ = event_base_new();
   if (base_ == nullptr) throw std::runtime_error("cannot create the event loop");
-  wake_ = event_new(
-      base_, -1, EV_PERSIST,
-      // The type is libevent's.
-      [](evutil_socket_t, short, void* self) {
-        static_cast<EventLoop*>(self)->Drain();
-      },  // NOLINT(google-runtime-int)
-      this);
+  // The type of the second argument is libevent's.
+  // NOLINTNEXTLINE(google-runtime-int)
+  const event_callback_fn drain = [](evutil_socket_t, short, void* self) {
+    static_cast<EventLoop*>(self)->Drain();
+  };
+  wake_ = event_new(base_, -1, EV_PERSIST, drain, this);
 }
 
 EventLoop::~EventLoop() {
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -101,6 +101,14 @@
     Hello(id, tasks);
   }
 
+  // Job req-1 of one task runs on machine i-1.
+  void RunOneTask(std::map<std::string, wire::ReportedTask>* tasks) {
+    Submit(testing::MakeJob("req-1"));
+    Store();
+    Ready("i-1", tasks);
+    ASSERT_EQ(tasks->size(), 1U);
+  }
+
   config::Settings settings_ = testing::MakeSettings();
   config::OperatorSettings tuning_;
   double now_ = 100;
@@ -152,10 +160,7 @@
 
 TEST_F(CoreTest, CompletionIsForgottenOnlyWhenDurable) {
   std::map<std::string, wire::ReportedTask> tasks;
-  Submit(testing::MakeJob("req-1"));
-  Store();
-  Ready("i-1", &tasks);
-  ASSERT_EQ(tasks.size(), 1U);
+  RunOneTask(&tasks);
   auto& task = tasks.begin()->second;
   task.phase = wire::TaskPhase::kEnded;
   task.cause = wire::EndCause::kDone;
@@ -172,10 +177,7 @@
 // An inherited task that nobody reports may run on any machine that has not acknowledged the term.
 TEST_F(CoreTest, InheritedTasksWaitForEveryMachine) {
   std::map<std::string, wire::ReportedTask> tasks;
-  Submit(testing::MakeJob("req-1"));
-  Store();
-  Ready("i-1", &tasks);
-  ASSERT_EQ(tasks.size(), 1U);
+  RunOneTask(&tasks);
   Restart();
   const double gone = now_ + Cluster::KeepAliveLimit(settings_) + settings_.lease_s;
   std::map<std::string, wire::ReportedTask> none;
@@ -196,10 +198,7 @@
 // With all other controllers known to follow the term only the machine's lease is waited for.
 TEST_F(CoreTest, TakeoverIsShorterWhenNoEarlierLeaderIsLeft) {
   std::map<std::string, wire::ReportedTask> tasks;
-  Submit(testing::MakeJob("req-1"));
-  Store();
-  Ready("i-1", &tasks);
-  ASSERT_EQ(tasks.size(), 1U);
+  RunOneTask(&tasks);
   Restart();
   now_ += 1;
   cluster_->OnEarlierLeadersEnded(now_);
@@ -312,10 +311,7 @@
 // lease must end provably.
 TEST_F(CoreTest, DeafMachineDoesNotHoldUpATakeover) {
   std::map<std::string, wire::ReportedTask> tasks;
-  Submit(testing::MakeJob("req-1"));
-  Store();
-  Ready("i-1", &tasks);
-  ASSERT_EQ(tasks.size(), 1U);
+  RunOneTask(&tasks);
   const uint64_t old_term = term_;
   Restart();
   const double began = now_;
@@ -352,10 +348,7 @@
 // Copies of reports that come late, at a leader that knows nothing of what they were copied from.
 TEST_F(CoreTest, LateCopiesChangeNothingForGood) {
   std::map<std::string, wire::ReportedTask> tasks;
-  Submit(testing::MakeJob("req-1"));
-  Store();
-  Ready("i-1", &tasks);
-  ASSERT_EQ(tasks.size(), 1U);
+  RunOneTask(&tasks);
   wire::Report copy = MakeReport("i-1", term_);
   copy.tasks = {tasks.begin()->second};
   wire::Report idle_copy = copy;
