--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <limits>
 #include <random>
 #include <tuple>
@@ -338,12 +337,14 @@
       const auto soon = [&](const Machine& m) {
         return job->spec.image_gb <= soon_s * m.type->fetch_gb_per_s;
       };
-      for (const auto& ready : {std::function<bool(const Machine&)>(has_image), {soon}}) {
-        PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && ready(m); });
-        PlaceOn(job, [&](const Machine& m) { return covered(m) && ready(m); });
-        PlaceOn(job, [&](const Machine& m) { return m.services > 0 && ready(m); });
-        PlaceOn(job, ready);
-      }
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && has_image(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && soon(m); });
+      PlaceOn(job, [&](const Machine& m) { return covered(m) && soon(m); });
+      PlaceOn(job, [&](const Machine& m) { return m.services > 0 && has_image(m); });
+      PlaceOn(job, has_image);
+      PlaceOn(job, [&](const Machine& m) { return m.services > 0 && soon(m); });
+      PlaceOn(job, soon);
       PlaceOn(job, [](const Machine& m) { return m.services > 0; });
     }
     // Dear machines should be the ones that fall idle.
