--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -411,6 +411,63 @@
   EXPECT_FALSE(take("open"));
 }
 
+// A pass does not repeat a search that was in vain for like jobs. On generated clusters no job is
+// left waiting while a machine that it may use has room for one of its tasks.
+RC_GTEST_FIXTURE_PROP(CoreTest, NoRoomIsOverlooked, ()) {
+  const std::vector<std::string> zones{"a", "b", "c"};
+  const int machines = *rc::gen::inRange(1, 9);
+  std::vector<wire::Report> reports;
+  for (int i = 0; i < machines; ++i) {
+    wire::Report report = MakeReport("i-" + std::to_string(100 + i), term_);
+    report.zone = *rc::gen::elementOf(zones);
+    report.spot = *rc::gen::arbitrary<bool>();
+    reports.push_back(report);
+  }
+  const auto report_all = [&] {
+    now_ += settings_.report_s;
+    for (wire::Report& report : reports) {
+      report.seq = ++seq_;
+      cluster_->OnReport(report, now_);
+    }
+    Store();
+  };
+  report_all();
+  report_all();
+  const int jobs = *rc::gen::inRange(1, 16);
+  for (int i = 0; i < jobs; ++i) {
+    wire::JobSpec spec = testing::MakeJob("req-" + std::to_string(100 + i),
+                                          static_cast<uint32_t>(*rc::gen::inRange(1, 9)));
+    spec.kind = *rc::gen::element(wire::JobKind::kArray, wire::JobKind::kService);
+    spec.priority = *rc::gen::element(wire::Priority::kProduction, wire::Priority::kNormal,
+                                      wire::Priority::kLow);
+    spec.cpus = *rc::gen::inRange(1, 4);
+    spec.memory_gb = *rc::gen::inRange(1, 9);
+    spec.spot = *rc::gen::arbitrary<bool>();
+    spec.one_zone = *rc::gen::inRange(0, 5) == 0;
+    spec.spread = !spec.one_zone && *rc::gen::inRange(0, 4) == 0;
+    if (*rc::gen::inRange(0, 4) == 0) spec.zone = *rc::gen::elementOf(zones);
+    Submit(spec);
+  }
+  Store();
+  now_ += settings_.report_s;
+  cluster_->Schedule(now_);
+  for (const auto& [id, job] : cluster_->jobs()) {
+    if (job->pending == 0) continue;
+    for (const auto& [name, m] : cluster_->machines()) {
+      if (m->stage != MachineStage::kUp || !m->acknowledged || m->retiring) continue;
+      Resources free = m->capacity;
+      free -= m->used;
+      const auto here = job->zone_counts.find(m->zone);
+      const int count = here == job->zone_counts.end() ? 0 : here->second;
+      const bool allowed =
+          (job->spec.spot || !m->spot) && (!job->spec.zone || *job->spec.zone == m->zone) &&
+          (!job->spec.spread || count < static_cast<int>((job->spec.tasks + 1) / 2)) &&
+          (!job->spec.one_zone || job->zone_counts.empty() || count > 0);
+      RC_ASSERT(!(allowed && job->need.Fits(free)));
+    }
+  }
+}
+
 // More work than the cloud has machines for, for a long time: strict priority and oldest first
 // would keep the large best-effort arrays, and gangs that wait for all their room, from beginning.
 RC_GTEST_FIXTURE_PROP(CoreTest, LargeJobsBeginUnderOverload, ()) {
