Connections beyond 0.6 of a node's sockets end with their answer

Ruled out: processor time, refusals by the state service, late answers. Change: HttpServer keeps a bounded number of connections open; each further one gets its answer and 'Connection: close', as PROTOCOL allows. Idle connections end after a worker's lease instead of four, and as many may wait to be accepted as the node has sockets (evhttp: 128). After a change of leaders all workers still come at once.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -64,6 +64,7 @@
   evhttp_request* request = std::exchange(request_, nullptr);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Content-Type", "application/json");
+  if (close_) evhttp_add_header(headers, "Connection", "close");
   if (response.retry_after_s > 0) {
     evhttp_add_header(headers, "Retry-After", std::to_string(response.retry_after_s).c_str());
   }
@@ -74,13 +75,13 @@
   evbuffer_free(body);
 }
 
-HttpServer::HttpServer(EventLoop* loop, const std::string& host, uint16_t port, size_t max_body,
-                       double idle_s, Handler handler)
-    : http_(evhttp_new(loop->base())), handler_(std::move(handler)) {
+HttpServer::HttpServer(EventLoop* loop, const std::string& host, uint16_t port,
+                       const Limits& limits, Handler handler)
+    : http_(evhttp_new(loop->base())), max_kept_(limits.max_kept), handler_(std::move(handler)) {
   if (http_ == nullptr) throw std::runtime_error("cannot create an HTTP server");
-  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(4 * max_body));
-  evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(max_body / 4));
-  evhttp_set_timeout(http_, static_cast<int>(std::ceil(idle_s)));
+  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(4 * limits.max_body));
+  evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(limits.max_body / 4));
+  evhttp_set_timeout(http_, static_cast<int>(std::ceil(limits.idle_s)));
   evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
                                         EVHTTP_REQ_PATCH);
@@ -90,17 +91,38 @@
     evhttp_free(http_);
     throw std::runtime_error("cannot listen on " + host + ":" + std::to_string(port));
   }
+  const evutil_socket_t fd = evhttp_bound_socket_get_fd(socket);
+  // evhttp lets 128 connections wait, far fewer than the workers that come at once to a new leader.
+  if (limits.backlog > 128 && listen(fd, limits.backlog) != 0) {
+    spdlog::error("cannot let {} connections wait on port {}", limits.backlog, port);
+  }
   sockaddr_in address{};
   socklen_t size = sizeof(address);
-  if (getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&address),
-                  &size) == 0) {
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
     port_ = ntohs(address.sin_port);
   }
 }
 
 HttpServer::~HttpServer() { evhttp_free(http_); }
 
+// More workers and users may come than the node may have sockets. If they took them all, the node
+// could not even reach the state service any more; so beyond the limit a connection lives for one
+// request only.
+bool HttpServer::Keep(evhttp_connection* connection) {
+  if (kept_.contains(connection)) return true;
+  if (kept_.size() >= max_kept_) return false;
+  kept_.insert(connection);
+  evhttp_connection_set_closecb(
+      connection,
+      [](evhttp_connection* closed, void* self) {
+        static_cast<HttpServer*>(self)->kept_.erase(closed);
+      },
+      this);
+  return true;
+}
+
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
+  auto* server = static_cast<HttpServer*>(self);
   ServerRequest parsed;
   parsed.method = MethodName(evhttp_request_get_command(request));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
@@ -111,9 +133,10 @@
   evbuffer* input = evhttp_request_get_input_buffer(request);
   parsed.body.resize(evbuffer_get_length(input));
   evbuffer_remove(input, parsed.body.data(), parsed.body.size());
-  auto responder = std::make_shared<Responder>(request);
+  const bool keep = server->Keep(evhttp_request_get_connection(request));
+  auto responder = std::make_shared<Responder>(request, !keep);
   try {
-    static_cast<HttpServer*>(self)->handler_(std::move(parsed), responder);
+    server->handler_(std::move(parsed), responder);
   } catch (const std::exception& e) {
     spdlog::error("request handler failed: {}", e.what());
     responder->Send({500, 1, "{\"error\":\"internal error\"}"});
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 #include "net/event_loop.h"
 
@@ -29,7 +30,9 @@
 // client gets 500 rather than silence.
 class Responder {
  public:
-  explicit Responder(evhttp_request* request) : request_(request) {}
+  // `close`: the connection ends with the answer.
+  explicit Responder(evhttp_request* request, bool close = false)
+      : request_(request), close_(close) {}
   ~Responder();
   Responder(const Responder&) = delete;
   Responder& operator=(const Responder&) = delete;
@@ -38,24 +41,37 @@
 
  private:
   evhttp_request* request_;
+  const bool close_;
 };
 using ResponderPtr = std::shared_ptr<Responder>;
 
 class HttpServer {
  public:
   using Handler = std::function<void(ServerRequest, ResponderPtr)>;
-  // `max_body`: larger bodies still reach the handler up to four times this size, so that it can
-  // refuse them in its own words.
-  HttpServer(EventLoop* loop, const std::string& host, uint16_t port, size_t max_body,
-             double idle_s, Handler handler);
+  struct Limits {
+    // Larger bodies still reach the handler up to four times this size, so that it can refuse them
+    // in its own words.
+    size_t max_body = 0;
+    // Connections that are kept open between requests. Each further one ends with its answer.
+    size_t max_kept = 0;
+    // Connections that may wait to be accepted.
+    int backlog = 128;
+    double idle_s = 0;
+  };
+  HttpServer(EventLoop* loop, const std::string& host, uint16_t port, const Limits& limits,
+             Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   uint16_t port() const { return port_; }
+  size_t kept() const { return kept_.size(); }
 
  private:
   static void OnRequest(evhttp_request* request, void* self);
+  bool Keep(evhttp_connection* connection);
   evhttp* http_;
+  const size_t max_kept_;
+  std::unordered_set<evhttp_connection*> kept_;
   uint16_t port_ = 0;
   Handler handler_;
 };
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -11,6 +11,9 @@
 // Of the sockets that the node may have, what connections to all peers together may take.
 constexpr double kPeerSocketShare = 0.02;
 constexpr size_t kPeerQueue = 64;
+// What kept-open connections of workers and users may take. The rest is for what comes for one
+// request only, for the own calls and for peers.
+constexpr double kPublicSocketShare = 0.6;
 // Of the time that the caller waits, what a forwarded call may take.
 constexpr double kForwardShare = 0.75;
 // Pings to each peer in the life of the leader's lease.
@@ -45,15 +48,22 @@
     peers_[peer.node].client = std::make_unique<net::HttpClient>(
         &loop_, peer.address.host, peer.address.port, connections, kPeerQueue, 8 * wire::kMaxBody);
   }
-  // Kept-open connections of workers and users fall silent for a report or a poll, not for longer.
-  const double idle_s = 4 * settings_.lease_s;
+  net::HttpServer::Limits limits;
+  // Kept-open connections of workers and users fall silent for a report or a poll; after a worker's
+  // lease whoever was there is gone.
+  limits.idle_s = settings_.lease_s;
+  limits.backlog = settings_.sockets;
+  limits.max_body = wire::kMaxBody;
+  limits.max_kept = settings_.PoolSize(kPublicSocketShare, 8);
   public_server_ = std::make_unique<net::HttpServer>(
-      &loop_, settings_.listen.host, settings_.listen.port, wire::kMaxBody, idle_s,
+      &loop_, settings_.listen.host, settings_.listen.port, limits,
       [this](const net::ServerRequest& request, const net::ResponderPtr& responder) {
         OnPublic(request, responder);
       });
+  limits.max_body = 4 * wire::kMaxBody;
+  limits.max_kept = static_cast<size_t>(settings_.sockets);  // the peers' pools are bounded
   back_server_ = std::make_unique<net::HttpServer>(
-      &loop_, settings_.back.host, settings_.back.port, 4 * wire::kMaxBody, idle_s,
+      &loop_, settings_.back.host, settings_.back.port, limits,
       [this](const net::ServerRequest& request, const net::ResponderPtr& responder) {
         OnBack(request, responder);
       });
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -24,7 +24,7 @@
     std::vector<std::unique_ptr<net::HttpServer>> probes;
     for (int i = 0; i < 6; ++i) {
       probes.push_back(std::make_unique<net::HttpServer>(
-          &loop_, "127.0.0.1", 0, 1024, 10,
+          &loop_, "127.0.0.1", 0, net::HttpServer::Limits{1024, 8, 128, 10},
           [](const net::ServerRequest&, const net::ResponderPtr&) {}));
       ports_.push_back(probes.back()->port());
     }
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -19,6 +19,8 @@
 
 using wire::Json;
 
+inline constexpr net::HttpServer::Limits kStandInLimits{1 << 20, 1000, 128, 60};
+
 inline std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> out;
   size_t at = 0;
@@ -49,7 +51,7 @@
  public:
   explicit StandInStore(net::EventLoop* loop)
       : loop_(loop),
-        server_(loop, "127.0.0.1", 0, 1 << 20, 60,
+        server_(loop, "127.0.0.1", 0, kStandInLimits,
                 [this](const net::ServerRequest& r, const net::ResponderPtr& p) { On(r, p); }) {}
   uint16_t port() const { return server_.port(); }
   struct Entry {
@@ -280,7 +282,7 @@
   StandInCloud(net::EventLoop* loop, std::vector<wire::MachineType> types, Boot boot)
       : types_(std::move(types)),
         boot_(std::move(boot)),
-        server_(loop, "127.0.0.1", 0, 1 << 20, 60,
+        server_(loop, "127.0.0.1", 0, kStandInLimits,
                 [this](const net::ServerRequest& r, const net::ResponderPtr& p) { On(r, p); }) {}
   uint16_t port() const { return server_.port(); }
   std::map<std::string, std::unique_ptr<StandInWorker>>& workers() { return workers_; }
