--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -9,9 +9,9 @@
 namespace zinclead::testing {
 namespace {
 
-// At one and a half times the machines of a deployment the leader's connections took every socket it
-// may have, and it could not write to the state service for a hundred seconds: each commit ran out
-// its time, and a new connection was refused.
+// At one and a half times the machines of a deployment the leader's connections took every socket
+// it may have, and it could not write to the state service for a hundred seconds: each commit ran
+// out its time, and a new connection was refused.
 TEST(HttpServer, KeepsFewConnectionsAndAnswersAll) {
   constexpr size_t kKept = 3;
   constexpr size_t kClients = 8;
@@ -30,7 +30,8 @@
   const auto call_all = [&] {
     size_t answered = 0;
     for (auto& client : clients) {
-      client->Call("GET", "/", "", 30, [&](const net::Response& r) { answered += r.status == 200; });
+      client->Call("GET", "/", "", 30,
+                   [&](const net::Response& r) { answered += r.status == 200; });
     }
     EXPECT_TRUE(RunUntil(&loop, [&] { return waiting.size() == clients.size(); }));
     EXPECT_EQ(server.kept(), std::min(kKept, clients.size()));
