A service starts on whichever machine that suits it reports first

Cause: a start waits for the report of the machine that was chosen, which comes every 5 s give or take a quarter at the fleet deployments, while brugdiens should start within 3 s. Ruled out: the time to record a submission (0.03 s), passes (0.25 s apart). Change: of services whose start is in no answer yet, a machine that reports takes those that it suits as well as the machine they were meant for.

--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -353,6 +353,7 @@
   Job* job = a->job;
   Machine* m = a->machine;
   TaskBackToPending(job, a->index, a);
+  unsent_services_.erase(KeyOf(*a));
   job->attempts.erase(a);
   m->attempts.erase(KeyOf(*a));
   if (m->attempts.empty()) m->idle_since = now;
@@ -382,6 +383,7 @@
 void Cluster::StopAttempt(Attempt* a, double grace_s, double now) {
   if (a->phase == AttemptPhase::kEnded) return;
   if (!a->stop) {
+    unsent_services_.erase(KeyOf(*a));
     a->stop = true;
     if (a->holds_room) ++a->machine->stopping;
     a->stop_since = now;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -346,6 +346,7 @@
   void SaveBeforeNotice(Machine* m, double now);
   void PlaceAndRent(double now);
   void FillMachine(Machine* m, double now);
+  void DrawServices(Machine* m, double now);
   void SendRents(double now, Effects* effects);
   bool NeededAsSpareRoom(const Machine& m) const;
 
@@ -378,6 +379,8 @@
   std::map<std::string, size_t> team_jobs_;  // active jobs by team
   std::map<std::string, wire::MachineType> types_;
   std::map<std::string, Resources> team_usage_;
+  // Services' attempts whose start is in no answer yet, the oldest job's first.
+  std::map<AttemptKey, Attempt*> unsent_services_;
   // Offers (type, zone and kind) that the cloud had too few of are left alone, for longer each
   // time.
   struct Refusal {
--- a/src/core/hello.cc
+++ b/src/core/hello.cc
@@ -139,6 +139,10 @@
     CheckSettled();
   }
 
+  // A start waits for the report of its machine, up to a report period and a quarter. What waits
+  // for another machine's is started here if this one suits as well.
+  if (!unsent_services_.empty() && MachineUsable(*m)) DrawServices(m, now);
+
   // Freed room is filled in this very answer rather than in the next one.
   if (dirty_ && MachineUsable(*m)) {
     if (now >= pass_at_) {
@@ -157,6 +161,7 @@
       }
     } else if (a->phase == AttemptPhase::kPlaced) {
       a->start_sent = true;
+      unsent_services_.erase(KeyOf(*a));
       result.commands.push_back(CommandFor(wire::CommandOp::kStart, *a));
     }
   }
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -83,6 +83,33 @@
     }
   }
 
+  // Starts services here that wait for the report of a machine which suits them no better.
+  void Draw(Machine* m) {
+    if (m->no_room_until > now_) return;
+    std::vector<Attempt*> waiting;
+    for (const auto& [key, a] : c_.unsent_services_) {
+      if (a->machine != m && a->job->need.Fits(FreeOf(*m))) waiting.push_back(a);
+    }
+    for (Attempt* a : waiting) {
+      Job* job = a->job;
+      Machine* from = a->machine;
+      if (!job->need.Fits(FreeOf(*m)) || !MachineSuits(*job, *m)) continue;
+      const std::map<std::string, int> leaves{{from->zone, -1}};
+      one_zone_.reset();
+      if (!ZoneAllowed(*job, m->zone, leaves)) continue;
+      const double soon_s = StartWithin(*job) / 2;
+      if (ServiceRank(*job, *m, HoldsServices(*m), soon_s) >
+          ServiceRank(*job, *from, HoldsServices(*from), soon_s)) {
+        continue;
+      }
+      // Nothing was sent there: as far as that machine goes nothing has happened.
+      const double idle_since = from->idle_since;
+      c_.RemoveAttempt(a, now_);
+      from->idle_since = idle_since;
+      Place(job, m, MakeAttempt(c_.term_, c_.next_attempt_++));
+    }
+  }
+
  private:
   // What a search for room depends on. Room only shrinks within a pass: where a job without further
   // restrictions found none, a like one or a more demanding one need not look again.
@@ -327,31 +354,41 @@
   }
 
   void PlaceWhereFree(Job* job) {
-    // Services stay for long: they go where services are, so that machines which only arrays keep
-    // busy can go back when those end.
-    // And they start soonest where their image is, or comes quickly.
     if (job->spec.kind == wire::JobKind::kService) {
       const double soon_s = StartWithin(*job) / 2;
-      const auto covered = [&](const Machine& m) { return Covered(m.zone); };
-      const auto has_image = [&](const Machine& m) { return m.images.contains(job->spec.image); };
-      const auto soon = [&](const Machine& m) {
-        return job->spec.image_gb <= soon_s * m.type->fetch_gb_per_s;
-      };
-      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && has_image(m); });
-      PlaceOn(job, [&](const Machine& m) { return covered(m) && has_image(m); });
-      PlaceOn(job, [&](const Machine& m) { return covered(m) && m.services > 0 && soon(m); });
-      PlaceOn(job, [&](const Machine& m) { return covered(m) && soon(m); });
-      PlaceOn(job, [&](const Machine& m) { return m.services > 0 && has_image(m); });
-      PlaceOn(job, has_image);
-      PlaceOn(job, [&](const Machine& m) { return m.services > 0 && soon(m); });
-      PlaceOn(job, soon);
-      PlaceOn(job, [](const Machine& m) { return m.services > 0; });
+      for (int rank = 0; rank < kWorstServiceRank; ++rank) {
+        PlaceOn(job, [&](const Machine& m) {
+          return ServiceRank(*job, m, m.services > 0, soon_s) <= rank;
+        });
+      }
     }
     // Dear machines should be the ones that fall idle.
     PlaceOn(job, [](const Machine& m) { return m.spot; });
     PlaceOn(job, [](const Machine&) { return true; });
   }
 
+  // Services stay for long: they go where services are, so that machines which only arrays keep
+  // busy can go back when those end. And they start soonest where their image is, or comes quickly.
+  // 0 is the best machine for the service.
+  static constexpr int kWorstServiceRank = 9;
+  int ServiceRank(const Job& job, const Machine& m, bool beside_services, double soon_s) const {
+    const bool has_image = m.images.contains(job.spec.image);
+    if (has_image || job.spec.image_gb <= soon_s * m.type->fetch_gb_per_s) {
+      return (Covered(m.zone) ? 0 : 4) + (has_image ? 0 : 2) + (beside_services ? 0 : 1);
+    }
+    return beside_services ? kWorstServiceRank - 1 : kWorstServiceRank;
+  }
+
+  // Services whose start was sent are on it.
+  static bool HoldsServices(const Machine& m) {
+    return m.services > 0 &&
+           std::any_of(m.attempts.begin(), m.attempts.end(), [](const auto& entry) {
+             const Attempt& a = *entry.second;
+             return a.job->spec.kind == wire::JobKind::kService && a.holds_room &&
+                    (a.start_sent || a.listed);
+           });
+  }
+
   // A gang starts only when all its tasks fit. When some of it is lost the rest is stopped, and
   // everything starts anew.
   void PlaceGang(Job* job) {
@@ -562,7 +599,11 @@
     uint32_t index = job->first_pending;
     while (job->tasks[index] != TaskState::kPending) ++index;
     job->first_pending = index + 1;
-    c_.Activate(c_.AddAttempt(m, job, index, number, now_));
+    Attempt* a = c_.AddAttempt(m, job, index, number, now_);
+    c_.Activate(a);
+    if (job->spec.kind == wire::JobKind::kService) {
+      c_.unsent_services_.emplace(Cluster::KeyOf(*a), a);
+    }
   }
 
   // All tasks of the job must be in one zone: the one with most room for it.
@@ -940,6 +981,8 @@
 
 void Cluster::FillMachine(Machine* m, double now) { SchedulePass(this, now).Fill(m); }
 
+void Cluster::DrawServices(Machine* m, double now) { SchedulePass(this, now).Draw(m); }
+
 bool Cluster::NeededAsSpareRoom(const Machine& m) const {
   return m.spare_fit > 0 && m.spare_fit > spare_surplus_;
 }
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -522,6 +522,39 @@
   RC_ASSERT(begun.at("req-2") - began < 240);
 }
 
+// A service waited for the report of the first machine with room, up to a report period and a
+// quarter, which is longer than some classes may wait at all.
+TEST_F(CoreTest, ServiceStartsOnTheMachineThatReportsFirst) {
+  std::map<std::string, std::map<std::string, wire::ReportedTask>> tasks;
+  for (const char* id : {"i-1", "i-2", "i-3"}) Ready(id, &tasks[id]);
+  wire::JobSpec spec = testing::MakeJob("req-1", 6);
+  spec.kind = wire::JobKind::kService;
+  Submit(spec);
+  Store();
+  cluster_->Schedule(now_);
+  Hello("i-3", &tasks["i-3"]);
+  EXPECT_EQ(tasks["i-3"].size(), 4U);
+  Hello("i-2", &tasks["i-2"]);
+  EXPECT_EQ(tasks["i-2"].size(), 2U);
+  Hello("i-1", &tasks["i-1"]);
+  EXPECT_TRUE(tasks["i-1"].empty());
+  // What was sent stays where it is.
+  for (auto& [id, mine] : tasks) Hello(id, &mine);
+  EXPECT_EQ(tasks["i-3"].size() + tasks["i-2"].size(), 6U);
+  EXPECT_EQ(cluster_->View("req-1")->running, 6U);
+  // Where its image is, it waits rather than start where it must be fetched.
+  spec = testing::MakeJob("req-2");
+  spec.kind = wire::JobKind::kService;
+  spec.image_gb = 100;
+  Submit(spec);
+  Store();
+  cluster_->Schedule(now_);
+  Hello("i-1", &tasks["i-1"]);
+  EXPECT_TRUE(tasks["i-1"].empty());
+  Hello("i-2", &tasks["i-2"]);
+  EXPECT_TRUE(tasks["i-2"].contains("req-2/0"));
+}
+
 // When load falls, machines with a service or two are emptied, one task at a time.
 TEST_F(CoreTest, ServicesAreGatheredFromMostlyEmptyMachines) {
   std::map<std::string, std::map<std::string, wire::ReportedTask>> tasks;
