--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -55,6 +55,10 @@
 // Loading
 
 bool Cluster::LoadRecord(const std::string& key, const Json& value) {
+  if (value == EmptiedRecord()) {
+    MarkDirty(key, Importance::kBackground);  // to be deleted now
+    return true;
+  }
   if (StartsWith(key, kJobPrefix)) return LoadJob(key.substr(kJobPrefix.size()), value);
   if (StartsWith(key, kMachinePrefix)) return LoadRent(key.substr(kMachinePrefix.size()), value);
   if (StartsWith(key, kTypePrefix)) {
@@ -501,7 +505,7 @@
 
 bool Cluster::MachineUsable(const Machine& m) const {
   return m.stage == MachineStage::kUp && m.may_hold_tasks && m.acknowledged && !m.session_gone &&
-         !m.retiring && m.type != nullptr;
+         !m.retiring && m.type != nullptr && Hears(m);
 }
 
 // Until every machine that may hold tasks of earlier terms has shown that it follows this term, or
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -39,6 +39,9 @@
 constexpr uint64_t MakeAttempt(uint64_t term, uint32_t counter) { return (term << 32U) | counter; }
 constexpr uint64_t TermOfAttempt(uint64_t attempt) { return attempt >> 32U; }
 
+// What is left of a record that can't be deleted in this term (see state::Committer).
+inline wire::Json EmptiedRecord() { return false; }
+
 struct Resources {
   double cpus = 0;
   double gpus = 0;
@@ -70,6 +73,10 @@
 // A job whose tasks failed on this many machines is at fault itself; until then the machines are.
 inline constexpr size_t kJobAtFault = 3;
 
+// A machine that has shown this many times in a row that answers of ours did not reach it gets no
+// work, and over a share of its lease it counts as deaf. One lost answer shows nothing.
+inline constexpr int kDeafAnswers = 3;
+
 struct Machine;
 struct Job;
 
@@ -157,6 +164,7 @@
   // Cluster::JudgeHearing.
   int missed_answers = 0;
   double missed_since = 0;
+  double missed_last = 0;
   bool deaf = false;
   double rented_at = 0;
   std::optional<double> notice_at;  // when the cloud takes it away
@@ -230,13 +238,13 @@
   std::optional<JobView> View(const std::string& id) const;
 
   // ---- workers ----
-  struct HelloResult {
+  struct ReportResult {
     bool refuse = false;  // answer 503: this report must not renew anything
     std::vector<wire::Command> commands;
   };
   // The caller must be entitled to answer workers (see election::Elector). `lapsed`: its own lease
   // may have ended, so a newer leader may exist.
-  HelloResult OnReport(const wire::Report& report, double now, bool lapsed = false);
+  ReportResult OnReport(const wire::Report& report, double now, bool lapsed = false);
 
   // Every other controller knows this term: none can answer workers for an earlier one any more.
   void OnEarlierLeadersEnded(double now);
@@ -288,13 +296,16 @@
  private:
   friend class SchedulePass;
 
-  // hello.cc
-  void OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
+  // report.cc
+  // False: something that is not known, and so is counted nowhere, still runs there.
+  bool OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
                     std::vector<wire::Command>* extra);
   void OnEnded(Attempt* a, wire::EndCause cause, double now);
   void OnTaskError(Machine* m, Job* job, double now);
   bool MayForget(const Attempt& a) const;
   void JudgeHearing(Machine* m, const wire::Report& report, bool new_session, double now);
+  static bool Hears(const Machine& m) { return m.missed_answers < kDeafAnswers; }
+  void WithdrawUnheard(Machine* m, double now);
   void Retire(Machine* m, double now);
   Machine* AdoptMachine(const std::string& id, const std::string& type, const std::string& zone,
                         bool spot, double now);
--- a/src/core/report.cc
+++ b/src/core/report.cc
@@ -41,8 +41,8 @@
 
 }  // namespace
 
-Cluster::HelloResult Cluster::OnReport(const wire::Report& report, double now, bool lapsed) {
-  HelloResult result;
+Cluster::ReportResult Cluster::OnReport(const wire::Report& report, double now, bool lapsed) {
+  ReportResult result;
   if (deleted_.contains(report.machine)) {
     result.refuse = true;  // a late message of a machine that is gone
     return result;
@@ -119,8 +119,9 @@
   // only this leader starts anything here.
   const bool may_adopt = !m->acknowledged;
   ++reports_;
+  bool strange = false;  // tasks run here whose job, and so whose team, is not known any more
   for (const wire::ReportedTask& task : report.tasks) {
-    OnListedTask(m, task, now, may_adopt, &result.commands);
+    if (!OnListedTask(m, task, now, may_adopt, &result.commands)) strange = true;
   }
   std::vector<Attempt*> vanished;
   for (auto& [key, a] : m->attempts) {
@@ -133,18 +134,22 @@
 
   // A lapsed leader keeps up what runs, but takes no machine over: one that came back with its
   // token forgotten may have followed a newer leader, which does not wait for it any more.
-  if (report.token >= term_ && !m->acknowledged && !lapsed) {
+  // What still runs here of a finished job is counted for no team: until it has gone, teams with a
+  // limit wait as for a machine that was not heard.
+  if (report.token >= term_ && !m->acknowledged && !lapsed && !strange) {
     m->acknowledged = true;
     dirty_ = true;
     CheckSettled();
   }
 
+  WithdrawUnheard(m, now);
+
   // A start waits for the report of its machine, up to a report period and a quarter. What waits
   // for another machine's is started here if this one suits as well.
-  if (!unsent_services_.empty() && MachineUsable(*m)) DrawServices(m, now);
+  if (!lapsed && !unsent_services_.empty() && MachineUsable(*m)) DrawServices(m, now);
 
   // Freed room is filled in this very answer rather than in the next one.
-  if (dirty_ && MachineUsable(*m)) {
+  if (!lapsed && dirty_ && MachineUsable(*m)) {
     if (now >= pass_at_) {
       PlaceAndRent(now);
     } else {
@@ -159,7 +164,10 @@
       if (a->phase != AttemptPhase::kSaving || a->grace_s == 0) {
         result.commands.push_back(CommandFor(wire::CommandOp::kStop, *a, a->grace_s));
       }
-    } else if (a->phase == AttemptPhase::kPlaced) {
+    } else if (a->phase == AttemptPhase::kPlaced && !lapsed && a->job->Live()) {
+      // What ends with the lease is the right to start, not the duty to keep leases alive: a newer
+      // leader may have told a user that the job is cancelled, and from then on none of its tasks
+      // may start. Nor is a start repeated while the cancellation is on its way to the store.
       a->start_sent = true;
       unsent_services_.erase(KeyOf(*a));
       result.commands.push_back(CommandFor(wire::CommandOp::kStart, *a));
@@ -198,10 +206,22 @@
     m->missed_answers = 0;
   } else if (missed) {
     if (m->missed_answers++ == 0) m->missed_since = now;
+    m->missed_last = now;
   }
 }
 
-void Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
+// What was sent to a machine that seems not to hear us, and that its later reports don't list, was
+// not executed and never will be: it need not wait there for the end of its lease.
+void Cluster::WithdrawUnheard(Machine* m, double now) {
+  if (Hears(*m)) return;
+  std::vector<Attempt*> unheard;
+  for (auto& [key, a] : m->attempts) {
+    if (a->phase == AttemptPhase::kPlaced && !a->listed) unheard.push_back(a.get());
+  }
+  for (Attempt* a : unheard) RemoveAttempt(a, now);
+}
+
+bool Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
                            std::vector<wire::Command>* extra) {
   Job* job = FindJob(listed.task.job);
   const bool ended = listed.phase == wire::TaskPhase::kEnded;
@@ -209,7 +229,7 @@
     // Over, or never accepted: accepted jobs are stored before anything of them starts.
     extra->push_back({ended ? wire::CommandOp::kForget : wire::CommandOp::kStop, listed.task,
                       listed.attempt, 0});
-    return;
+    return ended;
   }
   const auto it = m->attempts.find({job->serial, listed.task.index, listed.attempt});
   Attempt* a = nullptr;
@@ -225,11 +245,11 @@
   }
   a->listed = true;
   a->listed_in = reports_;
-  if (a->phase == AttemptPhase::kEnded) return;
+  if (a->phase == AttemptPhase::kEnded) return true;
   const AttemptPhase phase = PhaseOf(listed.phase);
   if (phase == AttemptPhase::kEnded) {
     OnEnded(a, listed.cause, now);
-    return;
+    return true;
   }
   if (OnMachine(phase) != OnMachine(a->phase)) {
     if (OnMachine(phase)) {
@@ -245,6 +265,7 @@
   }
   a->phase = phase;
   if (job->final_state != FinalState::kNone) StopAttempt(a, 0, now);
+  return true;
 }
 
 void Cluster::OnEnded(Attempt* a, wire::EndCause cause, double now) {
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -26,10 +26,8 @@
 // replaced.
 constexpr double kSilentShare = 0.4;
 
-// A machine that has shown this many times in a row, and over this share of its lease, that answers
-// of ours did not reach it does not hear us. One lost answer, or a few reports that were held up
-// and came together, show nothing.
-constexpr int kDeafAnswers = 3;
+// A machine that has missed kDeafAnswers over this share of its lease does not hear us. A few
+// reports that were held up and came together show nothing.
 constexpr double kDeafShare = 0.5;
 
 // Services are moved from machines that are emptier than others so that those can go back. While
@@ -1043,8 +1041,7 @@
   size_t silent = 0;
   size_t deaf = 0;
   const auto seems_deaf = [&](const Machine& m) {
-    return m.missed_answers >= kDeafAnswers &&
-           now - m.missed_since >= kDeafShare * settings_.lease_s;
+    return !Hears(m) && now - m.missed_since >= kDeafShare * settings_.lease_s;
   };
   for (const auto& [id, m] : machines_) {
     if (m->stage != MachineStage::kUp || m->deleting) continue;
@@ -1075,6 +1072,8 @@
         dirty_ = true;
       }
     }
+    // It has missed nothing for a lease and its session goes on: it was answered.
+    if (m->missed_answers > 0 && now - m->missed_last > lease) m->missed_answers = 0;
     if (few_deaf && !m->deaf && m->stage == MachineStage::kUp && seems_deaf(*m)) {
       m->deaf = true;
       m->retiring = true;
@@ -1092,8 +1091,9 @@
     }
     // Machines the list alone knows come up by themselves or are given up like the rest; without a
     // type nothing can ever be placed on them.
-    if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && m->attempts.empty() &&
-        now - m->idle_since >= tuning_.idle_s && !NeededAsSpareRoom(*m) &&
+    // One that seems not to hear us is idle because it is given nothing: it is judged above.
+    if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && Hears(*m) &&
+        m->attempts.empty() && now - m->idle_since >= tuning_.idle_s && !NeededAsSpareRoom(*m) &&
         now - m->rented_at >= wire::kMinChargeS - settings_.report_s) {
       spare_surplus_ -= m->spare_fit;
       m->spare_fit = 0;
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -302,19 +302,42 @@
   }
 }
 
-void Leader::Query(const std::string& id, const Reply& reply) {
-  if (!loaded_) return reply(TryLater("the leader is loading its records"));
+std::optional<core::Cluster::JobView> Leader::Tellable(const std::string& id, const char** why) {
+  *why = nullptr;
+  if (!loaded_) {
+    *why = "the leader is loading its records";
+    return std::nullopt;
+  }
   std::optional<core::Cluster::JobView> view;
   {
     const std::lock_guard lock(scheduler_->mutex);
     view = cluster_->View(id);
   }
   const bool valid = elector_->Valid(net::SteadyNow());
-  if (view && (view->final || (valid && view->stored))) {
+  if (view && (view->final || (valid && view->stored))) return view;
+  if (!valid) {
+    *why = "the state service does not answer";
+  } else if (view) {
+    *why = "the submission is being recorded";
+  }
+  return std::nullopt;
+}
+
+void Leader::SubmitMalformed(const std::string& id, const std::string& error, const Reply& reply) {
+  const char* why = nullptr;
+  const auto view = Tellable(id, &why);
+  if (view) return reply({200, 0, wire::JobStatusBody(id, view->phase)});
+  if (why != nullptr) return reply(TryLater(why));
+  reply({400, 0, wire::ErrorBody(error)});
+}
+
+void Leader::Query(const std::string& id, const Reply& reply) {
+  const char* why = nullptr;
+  const auto view = Tellable(id, &why);
+  if (view) {
     return reply({200, 0, wire::JobProgressBody(id, view->phase, view->done, view->running)});
   }
-  if (!valid) return reply(TryLater("the state service does not answer"));
-  if (view) return reply(TryLater("the submission is being recorded"));
+  if (why != nullptr) return reply(TryLater(why));
   reply({404, 0, wire::ErrorBody("no such job")});
 }
 
@@ -346,7 +369,7 @@
 net::Response Leader::OnReport(const wire::Report& report) {
   const double now = net::SteadyNow();
   if (!Entitled(now)) return TryLater("not entitled to answer workers now");
-  core::Cluster::HelloResult result;
+  core::Cluster::ReportResult result;
   {
     const std::lock_guard lock(scheduler_->mutex);
     result = cluster_->OnReport(report, now, !elector_->Valid(now));
--- a/src/service/leader.h
+++ b/src/service/leader.h
@@ -53,6 +53,8 @@
 
   // Answers a user's call now, or once what it asks for is durable.
   void Submit(const wire::JobSpec& spec, Reply reply);
+  // A submission that can't be taken for `error`, unless its job was accepted before.
+  void SubmitMalformed(const std::string& id, const std::string& error, const Reply& reply);
   void Query(const std::string& id, const Reply& reply);
   void Cancel(const std::string& id, Reply reply);
 
@@ -77,6 +79,8 @@
   void AfterChange();
   void OnStored();
   void AnswerWaiters(const std::string& id);
+  // What may be told of the job now, or why the user must come back. Neither: it is not known.
+  std::optional<core::Cluster::JobView> Tellable(const std::string& id, const char** why);
   bool Entitled(double now) const;
 
   net::EventLoop* loop_;
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -226,13 +226,20 @@
   if (path == wire::kJobsPath) {
     if (method != "POST") return reply(WrongMethod());
     std::string error;
-    const auto spec = wire::ParseSubmission(body, &error);
-    if (!spec) return reply(BadRequest(error));
+    auto spec = wire::ParseSubmission(body, &error);
     // A record must fit a value of the state service, its done tasks included.
-    if (wire::ToJson(*spec).dump().size() > settings_.ValueBytes() / 4) {
-      return reply(BadRequest("the texts in it are too long"));
+    if (spec && wire::ToJson(*spec).dump().size() > settings_.ValueBytes() / 4) {
+      error = "the texts in it are too long";
+      spec.reset();
+    }
+    if (!spec) {
+      // An accepted job is never refused, however its submission is repeated: the leader knows.
+      const auto id = wire::SubmissionId(body);
+      if (!id) return reply(BadRequest(error));
+      if (leader_ != nullptr) return leader_->SubmitMalformed(*id, error, reply);
+    } else if (leader_ != nullptr) {
+      return leader_->Submit(*spec, reply);
     }
-    if (leader_ != nullptr) return leader_->Submit(*spec, reply);
     if (forwarded) return reply(TryLater("not the leader"));
     return Forward(method, path, body, kForwardShare * wire::kSubmitPatienceS, reply);
   }
--- a/src/state/committer.cc
+++ b/src/state/committer.cc
@@ -66,6 +66,7 @@
       cluster_->OnNotStored(key);
       continue;
     }
+    if (!value && may_come_back_.contains(key)) value = core::EmptiedRecord();
     batch->writes.push_back({key, std::move(value), std::nullopt});
   }
   if (batch->writes.empty()) return false;
@@ -108,6 +109,9 @@
       // answer, or what is read back, decides.
       spdlog::info("commit of {} records got no answer, repeating", batch_->writes.size());
       batch_->in_doubt = true;
+      for (const wire::StoreWrite& write : batch_->writes) {
+        if (VersionOf(write.key) == 0) may_come_back_.insert(write.key);
+      }
       return Later(retry_s_, [this] { Send(); });
     case Outcome::kRejected:
       if (batch_->in_doubt) return Later(retry_s_, [this] { Send(); });
--- a/src/state/committer.h
+++ b/src/state/committer.h
@@ -3,6 +3,9 @@
 //
 // The fence makes late transactions of an old leader fail. The keys' versions make late copies of
 // this leader's own transactions fail: without them a repeated old write could undo a newer one.
+// "The key does not exist" is the one condition that a deletion makes true again, so a key that was
+// created by a transaction of which a copy may still be under way is not deleted in the same term:
+// it is emptied (core::EmptiedRecord), and the next leader, whose fence stops the copy, deletes it.
 #ifndef ZINCLEAD_STATE_COMMITTER_H_
 #define ZINCLEAD_STATE_COMMITTER_H_
 
@@ -11,6 +14,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/cluster.h"
@@ -37,7 +41,7 @@
   struct Batch {
     core::Importance importance = core::Importance::kNormal;
     std::vector<wire::StoreWrite> writes;
-    bool in_doubt = false;  // some copy of it may have been executed
+    bool in_doubt = false;  // some copy of it may have been executed, or may still be
   };
   bool Compose();
   void Send();
@@ -58,6 +62,8 @@
   std::unordered_map<std::string, uint64_t> versions_;
   Hooks hooks_;
   std::unique_ptr<Batch> batch_;  // the transaction under way
+  // Created by transactions that were in doubt.
+  std::unordered_set<std::string> may_come_back_;
   // Read-back of a batch in doubt.
   size_t reading_ = 0;
   bool all_equal_ = false;
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -232,6 +232,16 @@
   return JobSpecFromJson(json, error);
 }
 
+std::optional<std::string> SubmissionId(std::string_view body) {
+  if (body.size() > kMaxBody) return std::nullopt;
+  const Json json = Parse(body);
+  std::string id;
+  Reader reader(json);
+  reader.String("uid", &id);
+  if (!reader.ok() || !ValidJobId(id)) return std::nullopt;
+  return id;
+}
+
 std::optional<JobSpec> JobSpecFromJson(const Json& json, std::string* error) {
   JobSpec spec;
   Reader reader(json);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -67,6 +67,8 @@
 
 // Parses a submission. Returns nullopt and sets `error` when it is malformed.
 std::optional<JobSpec> ParseSubmission(std::string_view body, std::string* error);
+// The id that a submission names, however malformed the rest of it is.
+std::optional<std::string> SubmissionId(std::string_view body);
 std::optional<JobSpec> JobSpecFromJson(const Json& json, std::string* error);
 Json ToJson(const JobSpec& spec);
 
--- a/tests/committer_test.cc
+++ b/tests/committer_test.cc
@@ -94,6 +94,46 @@
   EXPECT_EQ(standin_.entries()["zinclead/job/req-000001"].value["final"], "cancelled");
 }
 
+// "The key does not exist" becomes true again when it is deleted: a late copy of the transaction
+// that created it would bring a machine back that is long gone.
+TEST_F(CommitterTest, LateCopyBringsNoDeletedRecordBack) {
+  std::vector<Json> created;
+  standin_.fate = [&](const Json& txn) {
+    created.push_back(txn);
+    // The first try gets no answer, and is still under way.
+    return created.size() == 1 ? StandInStore::Fate::kLost : StandInStore::Fate::kNormal;
+  };
+  wire::Report report;
+  report.machine = "i-000001";
+  report.type = "c4";
+  report.zone = "a";
+  report.session = report.seq = 1;
+  report.token = 1;
+  cluster_->OnReport(report, net::SteadyNow());
+  committer_->Kick();
+  const std::string key = "zinclead/machines/adopted-i-000001";
+  ASSERT_TRUE(Until([&] { return standin_.entries().contains(key); }));
+  ASSERT_TRUE(Until([&] { return !cluster_->HasDirty(); }));
+  cluster_->OnDeleted({"i-000001"}, true, net::SteadyNow());
+  committer_->Kick();
+  ASSERT_TRUE(Until([&] {
+    return !standin_.entries().contains(key) ||
+           standin_.entries()[key].value == core::EmptiedRecord();
+  }));
+  for (const Json& txn : created) standin_.Execute(txn);
+  EXPECT_FALSE(standin_.entries().contains(key) &&
+               standin_.entries()[key].value != core::EmptiedRecord());
+  // The next leader deletes what is left of it.
+  core::Cluster next(settings_, config::OperatorSettings(), 2, net::SteadyNow(), net::WallNow(), 1);
+  for (const auto& [k, entry] : standin_.entries()) next.LoadRecord(k, entry.value);
+  next.FinishLoading(net::SteadyNow());
+  EXPECT_TRUE(next.machines().empty());
+  const auto dirty = next.TakeDirty(8);
+  ASSERT_EQ(dirty.size(), 1U);
+  EXPECT_EQ(dirty[0], key);
+  EXPECT_FALSE(next.Render(key).has_value());
+}
+
 TEST_F(CommitterTest, AnotherLeaderFencesItOff) {
   standin_.Execute(
       {{"when", Json::array()}, {"writes", {{{"put", election::kLeaderKey}, {"value", "other"}}}}});
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -144,7 +144,13 @@
   EXPECT_EQ(AskUntilTaken(follower, "GET", "/submissions/req-000404").status, 404);
   EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", job1).status, 201);
   EXPECT_EQ(AskUntilTaken(Leader(), "POST", "/submissions", job1).status, 200);
+  // However its submission is repeated, an accepted job is never refused; another one is.
+  const std::string lacking = R"({"uid":"req-000001","crew":"nobody"})";
+  EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", lacking).status, 200);
+  EXPECT_EQ(AskUntilTaken(Leader(), "POST", "/submissions", lacking).status, 200);
+  EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", R"({"uid":"req-000008"})").status, 400);
   ASSERT_TRUE(Until([&] { return PhaseOf(follower, "req-000001") == "done"; }));
+  EXPECT_EQ(AskUntilTaken(follower, "POST", "/submissions", lacking).status, 200);
 
   // A service runs through the death of the leader, and is not started a second time.
   wire::JobSpec service = MakeJob("req-000002", 2);
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -61,7 +61,8 @@
   };
   std::map<std::string, Entry>& entries() { return entries_; }
   // Called for each transaction; the result says what happens to it.
-  enum class Fate { kNormal, kExecutedUnanswered, kRefused };
+  // kLost: neither executed nor answered; the test may execute it later.
+  enum class Fate { kNormal, kExecutedUnanswered, kLost, kRefused };
   std::function<Fate(const Json&)> fate;
   uint64_t transactions = 0;
 
@@ -100,6 +101,10 @@
       const Json txn = Json::parse(r.body);
       const Fate what = fate ? fate(txn) : Fate::kNormal;
       if (what == Fate::kRefused) return send(503, {{"error", "trouble"}});
+      if (what == Fate::kLost) {
+        unanswered_.push_back(p);
+        return;
+      }
       const auto [status, body] = Execute(txn);
       if (what == Fate::kExecutedUnanswered) {
         unanswered_.push_back(p);  // never answered: the client's time-out must deal with it
