--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -297,8 +297,7 @@
   friend class SchedulePass;
 
   // report.cc
-  // False: something that is not known, and so is counted nowhere, still runs there.
-  bool OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
+  void OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
                     std::vector<wire::Command>* extra);
   void OnEnded(Attempt* a, wire::EndCause cause, double now);
   void OnTaskError(Machine* m, Job* job, double now);
--- a/src/core/report.cc
+++ b/src/core/report.cc
@@ -119,9 +119,8 @@
   // only this leader starts anything here.
   const bool may_adopt = !m->acknowledged;
   ++reports_;
-  bool strange = false;  // tasks run here whose job, and so whose team, is not known any more
   for (const wire::ReportedTask& task : report.tasks) {
-    if (!OnListedTask(m, task, now, may_adopt, &result.commands)) strange = true;
+    OnListedTask(m, task, now, may_adopt, &result.commands);
   }
   std::vector<Attempt*> vanished;
   for (auto& [key, a] : m->attempts) {
@@ -134,9 +133,7 @@
 
   // A lapsed leader keeps up what runs, but takes no machine over: one that came back with its
   // token forgotten may have followed a newer leader, which does not wait for it any more.
-  // What still runs here of a finished job is counted for no team: until it has gone, teams with a
-  // limit wait as for a machine that was not heard.
-  if (report.token >= term_ && !m->acknowledged && !lapsed && !strange) {
+  if (report.token >= term_ && !m->acknowledged && !lapsed) {
     m->acknowledged = true;
     dirty_ = true;
     CheckSettled();
@@ -221,15 +218,17 @@
   for (Attempt* a : unheard) RemoveAttempt(a, now);
 }
 
-bool Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
+void Cluster::OnListedTask(Machine* m, const wire::ReportedTask& listed, double now, bool may_adopt,
                            std::vector<wire::Command>* extra) {
   Job* job = FindJob(listed.task.job);
   const bool ended = listed.phase == wire::TaskPhase::kEnded;
   if (job == nullptr || listed.task.index >= job->spec.tasks) {
-    // Over, or never accepted: accepted jobs are stored before anything of them starts.
+    // Over, or never accepted: accepted jobs are stored before anything of them starts. It counts
+    // for no team, and need not: until the machine acknowledges the term teams with a limit wait,
+    // and the answer that brings it the term brings this stop.
     extra->push_back({ended ? wire::CommandOp::kForget : wire::CommandOp::kStop, listed.task,
                       listed.attempt, 0});
-    return ended;
+    return;
   }
   const auto it = m->attempts.find({job->serial, listed.task.index, listed.attempt});
   Attempt* a = nullptr;
@@ -245,11 +244,11 @@
   }
   a->listed = true;
   a->listed_in = reports_;
-  if (a->phase == AttemptPhase::kEnded) return true;
+  if (a->phase == AttemptPhase::kEnded) return;
   const AttemptPhase phase = PhaseOf(listed.phase);
   if (phase == AttemptPhase::kEnded) {
     OnEnded(a, listed.cause, now);
-    return true;
+    return;
   }
   if (OnMachine(phase) != OnMachine(a->phase)) {
     if (OnMachine(phase)) {
@@ -265,7 +264,6 @@
   }
   a->phase = phase;
   if (job->final_state != FinalState::kNone) StopAttempt(a, 0, now);
-  return true;
 }
 
 void Cluster::OnEnded(Attempt* a, wire::EndCause cause, double now) {
