A job goes back to a machine it failed on, and is tried again within 40 s

Found by reading, against the rule that no job waits 90 s beside a fitting machine with room: a job that had failed on one machine never went there again while fewer than three had failed it, and one that failed on many backed off up to 160 s. Now 60 s and 40 s, as multiples of the retry interval. Test: JobGoesBackToTheOnlyMachineItFailedOn.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -132,10 +132,10 @@
   std::unordered_map<uint32_t, Attempt*> active;  // the attempt that counts for each active task
   std::map<std::string, int> zone_counts;         // tasks that may be on a machine, by zone
   uint32_t running = 0;
-  std::unordered_set<Attempt*> attempts;  // known on any machine, ended ones included
-  bool begun = false;                     // some task has run, as far as this term knows
-  bool tried = false;                     // a whole pass has looked for room for it
-  std::set<std::string> failed_on;        // machines on which a task ended with an error
+  std::unordered_set<Attempt*> attempts;    // known on any machine, ended ones included
+  bool begun = false;                       // some task has run, as far as this term knows
+  bool tried = false;                       // a whole pass has looked for room for it
+  std::map<std::string, double> failed_on;  // machines on which a task ended with an error, when
   double not_before = 0;
 
   bool Live() const { return final_state == FinalState::kNone && !cancel_wanted; }
--- a/src/core/report.cc
+++ b/src/core/report.cc
@@ -12,6 +12,10 @@
 // A machine on which the tasks of this many jobs failed is faulty.
 constexpr size_t kMachineAtFault = 2;
 
+// A job that fails everywhere is tried again after at most this many doublings of the retry
+// interval: machines may be at fault all the same, and no job waits 90 s beside room.
+constexpr int kMostFaultDoublings = 3;
+
 // An answer is on its way for this share of a report period before its effect can be missed.
 constexpr double kAnswerShare = 0.1;
 
@@ -303,11 +307,12 @@
 }
 
 void Cluster::OnTaskError(Machine* m, Job* job, double now) {
-  job->failed_on.insert(m->id);
+  job->failed_on[m->id] = now;
   m->failed_jobs.insert(job->spec.id);
   if (job->failed_on.size() >= kJobAtFault) {
     // A mistake in the job: it fails everywhere. It backs off, and no machine is blamed for it.
-    const int doublings = std::min<int>(static_cast<int>(job->failed_on.size() - kJobAtFault), 5);
+    const int doublings =
+        std::min<int>(static_cast<int>(job->failed_on.size() - kJobAtFault), kMostFaultDoublings);
     job->not_before = now + tuning_.retry_s * std::pow(2.0, doublings);
     for (auto& [id, machine] : machines_) machine->failed_jobs.erase(job->spec.id);
     return;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -41,6 +41,9 @@
 constexpr double kMovesAtOnceShare = 0.0067;
 constexpr double kEmptyEnough = 0.67;
 
+// Retry intervals for which a job that failed on a machine is not put there again.
+constexpr double kFaultRetries = 12;
+
 // Of a report period, the least time between two whole passes.
 constexpr double kPassShare = 0.05;
 
@@ -312,7 +315,11 @@
   bool MachineSuits(const Job& job, const Machine& m) const {
     if (m.spot && !job.spec.spot) return false;
     if (!TypeAllowed(job, m.type_name)) return false;
-    return !job.failed_on.contains(m.id) || job.failed_on.size() >= kJobAtFault;
+    if (job.failed_on.size() >= kJobAtFault) return true;
+    // Not for good: it may be the only machine with room that there is.
+    const auto failed = job.failed_on.find(m.id);
+    return failed == job.failed_on.end() ||
+           now_ - failed->second >= kFaultRetries * c_.tuning_.retry_s;
   }
 
   Resources FreeOf(const Machine& m) const {
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -693,6 +693,33 @@
   EXPECT_EQ(cluster_->Schedule(now_).remove, std::vector<std::string>{"i-1"});
 }
 
+// The machine it failed on may be the only one with room.
+TEST_F(CoreTest, JobGoesBackToTheOnlyMachineItFailedOn) {
+  std::map<std::string, wire::ReportedTask> tasks;
+  wire::JobSpec service = testing::MakeJob("req-2");
+  service.kind = wire::JobKind::kService;
+  Submit(service);  // keeps the machine from going back
+  Submit(testing::MakeJob("req-1"));
+  Store();
+  Ready("i-1", &tasks);
+  ASSERT_EQ(tasks.size(), 2U);
+  tasks.at("req-1/0").phase = wire::TaskPhase::kEnded;
+  tasks.at("req-1/0").cause = wire::EndCause::kError;
+  Hello("i-1", &tasks);
+  Hello("i-1", &tasks);
+  EXPECT_EQ(tasks.size(), 1U);
+  const double failed_at = now_;
+  while (tasks.size() == 1 && now_ < failed_at + 90) {
+    Hello("i-1", &tasks);
+    for (const auto& request : cluster_->Schedule(now_).rent) {
+      cluster_->OnRented(request.name, Cluster::RentOutcome::kNoCapacity, {}, now_);
+    }
+    Store();
+  }
+  EXPECT_EQ(tasks.size(), 2U);
+  EXPECT_GT(now_, failed_at + 2 * tuning_.retry_s);
+}
+
 TEST_F(CoreTest, ProductionPreemptsLesserWork) {
   std::map<std::string, wire::ReportedTask> tasks;
   wire::JobSpec low = testing::MakeJob("req-1", 4);
