--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -263,7 +263,6 @@
   Effects Schedule(double now, bool lapsed = false);
   // A whole pass costs time for each job and machine: when much changes, one serves many changes.
   double NextWake() const { return dirty_ ? std::min(next_wake_, pass_at_) : next_wake_; }
-  bool NeedsSchedule() const { return dirty_; }
 
   // ---- records ----
   bool HasDirty() const;
@@ -351,9 +350,11 @@
   bool LoadRent(const std::string& name, const wire::Json& value);
   void ApplyDone(Job* job, uint32_t first, const std::string& text);
 
-  // scheduler.cc
+  // machines.cc
   void CheckMachines(double now, bool lapsed, Effects* effects);
   void SaveBeforeNotice(Machine* m, double now);
+
+  // scheduler.cc
   void PlaceAndRent(double now);
   void FillMachine(Machine* m, double now);
   void DrawServices(Machine* m, double now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -12,9 +12,6 @@
 namespace zinclead::core {
 namespace {
 
-// PROTOCOL: steady clocks may drift apart by 0.05%.
-constexpr double kDrift = 0.0005;
-
 // Spare room for production services: what arrives while a machine boots, slow boots included, and
 // one more; never more than this share of what runs, so that a start with many jobs at once does
 // not count as a steady stream.
@@ -22,14 +19,6 @@
 constexpr double kSpareWindowBoots = 3;
 constexpr double kSpareShare = 0.1;
 
-// Of the workers' lease, the silence after which a machine that a new leader never heard is
-// replaced.
-constexpr double kSilentShare = 0.4;
-
-// A machine that has missed kDeafAnswers over this share of its lease does not hear us. A few
-// reports that were held up and came together show nothing.
-constexpr double kDeafShare = 0.5;
-
 // Services are moved from machines that are emptier than others so that those can go back. While
 // one moves it is down for about kMoveS: it ends with the answer that stops it, the report of that
 // comes after the least time between two, and some machine that suits it reports soon. Of a lease's
@@ -1018,105 +1007,6 @@
   }
 }
 
-// Work that saves is told to while there is time for it; the rest runs on to the end.
-void Cluster::SaveBeforeNotice(Machine* m, double now) {
-  if (!m->notice_at || m->deleting) return;
-  for (auto& [key, a] : m->attempts) {
-    const double save_s = a->job->spec.save_s;
-    if (a->job->spec.checkpoint_s > 0 && !a->stop &&
-        *m->notice_at - now <= 2 * save_s + 2 * settings_.report_s) {
-      StopAttempt(a.get(), save_s, now);
-    }
-  }
-}
-
-void Cluster::CheckMachines(double now, bool lapsed, Effects* effects) {
-  for (auto& [id, m] : machines_) SaveBeforeNotice(m.get(), now);
-  // A newer leader may keep alive, and use, what a lapsed one hears nothing of: a leader that was
-  // cut off with the machines of its zone took all others for gone after a lease, and ran their
-  // tasks a second time. So its silence proves nothing, and what seems idle or dead is not its to
-  // delete.
-  if (lapsed) return;
-  // A worker whose answer got lost is silent for a report period, its patience and a second. After
-  // a takeover nobody knows what is on a machine that is silent for longer. All that is inherited
-  // and not seen may be there, and should not wait until its lease has ended for every earlier
-  // leader (hljod grown rough: 50 s for 24 machines that had died): a deletion proves sooner that
-  // it is gone. When many are silent the trouble is on our side.
-  const double silent_s = std::max(kSilentShare * settings_.lease_s,
-                                   2 * settings_.report_s + wire::kReportPatienceS + 1);
-  size_t up = 0;
-  size_t silent = 0;
-  size_t deaf = 0;
-  const auto seems_deaf = [&](const Machine& m) {
-    return !Hears(m) && now - m.missed_since >= kDeafShare * settings_.lease_s;
-  };
-  for (const auto& [id, m] : machines_) {
-    if (m->stage != MachineStage::kUp || m->deleting) continue;
-    ++up;
-    if (now - std::max(m->last_heard, started_at_) > silent_s / 2) ++silent;
-    if (seems_deaf(*m)) ++deaf;
-  }
-  const bool few_silent = silent <= 1 + up / 10;
-  const bool few_deaf = deaf <= 1 + up / 10;
-  const bool work_held_up =
-      !settled_ && std::any_of(active_jobs_.begin(), active_jobs_.end(), [](const auto& entry) {
-        const Job& job = *entry.second;
-        return job.inherited && job.Live() && job.pending > 0;
-      });
-  const double lease = settings_.lease_s * (1 + 4 * kDrift) + settings_.report_s / 4;
-  for (auto& [id, m] : machines_) {
-    if (m->stage == MachineStage::kUp && !m->session_gone) {
-      // Until the worker has seen this term an earlier leader may have kept its lease alive, for
-      // KeepAliveLimit after that leader's own lease, which ended before this term began, or until
-      // all other controllers knew this term.
-      const double alive_until =
-          (m->acknowledged ? m->last_heard : std::max(m->last_heard, earlier_until_)) + lease;
-      if (now > alive_until) {
-        m->session_gone = true;
-        DropAllAttempts(m.get(), now);
-        m->retiring = true;
-        m->deleting = true;
-        dirty_ = true;
-      }
-    }
-    // It has missed nothing for a lease and its session goes on: it was answered.
-    if (m->missed_answers > 0 && now - m->missed_last > lease) m->missed_answers = 0;
-    if (few_deaf && !m->deaf && m->stage == MachineStage::kUp && seems_deaf(*m)) {
-      m->deaf = true;
-      m->retiring = true;
-      m->deleting = true;
-    }
-    if (few_silent && work_held_up && m->stage == MachineStage::kUp && !m->acknowledged &&
-        !m->deleting && now - std::max(m->last_heard, started_at_) > silent_s) {
-      m->retiring = true;
-      m->deleting = true;
-    }
-    if (m->stage == MachineStage::kBooting && !m->deleting && m->type != nullptr &&
-        now - m->rented_at > tuning_.boot_give_up * m->type->boot_s) {
-      m->retiring = true;
-      m->deleting = true;
-    }
-    // Machines the list alone knows come up by themselves or are given up like the rest; without a
-    // type nothing can ever be placed on them.
-    // One that seems not to hear us is idle because it is given nothing: it is judged above.
-    if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && Hears(*m) &&
-        m->attempts.empty() && now - m->idle_since >= tuning_.idle_s && !NeededAsSpareRoom(*m) &&
-        now - m->rented_at >= wire::kMinChargeS - settings_.report_s) {
-      spare_surplus_ -= m->spare_fit;
-      m->spare_fit = 0;
-      m->retiring = true;
-      m->deleting = true;
-    }
-    if (m->retiring && !m->deleting && m->attempts.empty() && m->acknowledged) m->deleting = true;
-    // Its end by the cloud can't be seen; an answered deletion can.
-    if (m->notice_at && now >= *m->notice_at) m->deleting = true;
-    if (m->deleting && !m->delete_sent && m->delete_retry_at <= now) {
-      m->delete_sent = true;
-      effects->remove.push_back(id);
-    }
-  }
-}
-
 Effects Cluster::Schedule(double now, bool lapsed) {
   Effects effects;
   CheckMachines(now, lapsed, &effects);
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -131,9 +131,7 @@
   loop_.StartTimer(
       &peer_timer_, elector_.lease_s() / kPingsPerLease, [this] { PingPeers(); },
       net::Urgency::kUrgent);
-  const wire::LeaderNotice notice{elector_.leading() ? settings_.node : std::string(),
-                                  elector_.leader_term()};
-  const std::string body = ToJson(notice).dump();
+  const std::string body = Notice();
   for (auto& [name, peer] : peers_) {
     if (std::exchange(peer.pinged, true)) continue;
     CallPeer(name, wire::kPeerLeaderPath, body, elector_.lease_s(),
@@ -150,6 +148,12 @@
   }
 }
 
+std::string Node::Notice() const {
+  return ToJson(wire::LeaderNotice{elector_.leading() ? settings_.node : std::string(),
+                                   elector_.leader_term()})
+      .dump();
+}
+
 void Node::CallPeer(const std::string& name, std::string_view path, std::string body,
                     double timeout_s, net::HttpClient::Callback done) {
   const double began = net::SteadyNow();
@@ -201,11 +205,7 @@
     const auto notice = wire::ParseLeaderNotice(request.body);
     if (!notice) return responder->Send(BadRequest("malformed notice"));
     elector_.OnLeaderNotice(notice->node, notice->term);
-    return responder->Send(
-        {200, 0,
-         ToJson(wire::LeaderNotice{elector_.leading() ? settings_.node : std::string(),
-                                   elector_.leader_term()})
-             .dump()});
+    return responder->Send({200, 0, Notice()});
   }
   if (request.path != wire::kPeerForwardPath) return responder->Send(NotFound());
   const auto call = wire::ParseForwardedRequest(request.body);
--- a/src/service/node.h
+++ b/src/service/node.h
@@ -46,6 +46,8 @@
   void Forward(const std::string& method, const std::string& path, const std::string& body,
                double timeout_s, const Reply& reply);
   void PingPeers();
+  // What it tells peers of who leads.
+  std::string Notice() const;
   // Calls a peer and takes down what its answer, or its silence, says of it.
   void CallPeer(const std::string& name, std::string_view path, std::string body, double timeout_s,
                 net::HttpClient::Callback done);
