Within the state service's limits to come; nothing stalls when they are lowered

Now the tighter of `state` and `state.next` holds from the start; a transaction that is called malformed is tried with fewer records, down to the one at fault, which is left alone for a while. Also: a task phase that is not known counts as one that may still run; a gang whose tasks can never stand together (all in one zone, at most half in one) gets 422. Tests: Settings.KeepsWithinTheLimitsToCome, CommitterTest.LoweredLimitsStallNothing, Report.UnknownPhaseMayStillRun, CoreTest.RefusesWhatCanNeverRunAndTheOverflow.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <sstream>
@@ -185,6 +186,21 @@
   s.state_write_rps = reader.Amount(state, "settings.state.", "write_rps");
   s.state_value_kb = reader.Amount(state, "settings.state.", "value_kb");
   s.state_txn_ops = reader.Count(state, "settings.state.", "txn_ops");
+  if (state.contains("next")) {
+    // Limits that the state service will have from some moment on, without notice: everything is
+    // kept within the tighter of both from the start.
+    const toml::table& next = reader.Table(state, "settings.state.", "next");
+    const std::string at = "settings.state.next.";
+    const auto tighter = [&](const char* name, double now) {
+      return next.contains(name) ? std::min(now, reader.Amount(next, at, name)) : now;
+    };
+    s.state_rps = tighter("rps", s.state_rps);
+    s.state_write_rps = tighter("write_rps", s.state_write_rps);
+    s.state_value_kb = tighter("value_kb", s.state_value_kb);
+    if (next.contains("txn_ops")) {
+      s.state_txn_ops = std::min(s.state_txn_ops, reader.Count(next, at, "txn_ops"));
+    }
+  }
   const toml::table& cloud = reader.Table(params, "settings.", "cloud");
   s.cloud_rps = reader.Amount(cloud, "settings.cloud.", "rps");
   s.cloud_list_lag_s = reader.Amount(cloud, "settings.cloud.", "list_lag_s", true);
--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -53,7 +53,7 @@
   job->accepted_ms = accepted_ms;
   job->accepted_at = accepted_at;
   job->done_chunk =
-      std::max(1U, static_cast<uint32_t>(settings_.ValueBytes()) / (2 * kDoneBytesPerTask));
+      std::max(1U, static_cast<uint32_t>(settings_.ValueBytes()) / (4 * kDoneBytesPerTask));
   job->tasks.assign(spec.tasks, TaskState::kPending);
   job->pending = spec.tasks;
   return job;
@@ -93,6 +93,10 @@
     *error = "more than the team's limit";
     return SubmitOutcome::kUnprocessable;
   }
+  if (spec.kind == wire::JobKind::kGang && spec.one_zone && spec.spread && spec.tasks > 1) {
+    *error = "its tasks can never run together: all in one zone, and at most half in one";
+    return SubmitOutcome::kUnprocessable;
+  }
   if (types_.empty()) return SubmitOutcome::kUndecided;
   if (std::none_of(types_.begin(), types_.end(),
                    [&](const auto& entry) { return FitsType(spec, entry.second); })) {
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -227,8 +227,9 @@
     if (method != "POST") return reply(WrongMethod());
     std::string error;
     auto spec = wire::ParseSubmission(body, &error);
-    // A record must fit a value of the state service, its done tasks included.
-    if (spec && wire::ToJson(*spec).dump().size() > settings_.ValueBytes() / 4) {
+    // A record must fit a value of the state service, its done tasks included: these take a
+    // quarter.
+    if (spec && wire::ToJson(*spec).dump().size() > settings_.ValueBytes() / 2) {
       error = "the texts in it are too long";
       spec.reset();
     }
--- a/src/state/committer.cc
+++ b/src/state/committer.cc
@@ -6,13 +6,20 @@
 #include <utility>
 
 namespace zinclead::state {
+namespace {
+
+// Retry intervals for which a record that was called malformed is left alone.
+constexpr double kRefusedRetries = 50;
+
+}  // namespace
 
 Committer::Committer(net::EventLoop* loop, StoreClient* store, const config::Settings& settings,
                      std::mutex* mutex, core::Cluster* cluster, wire::StoreCondition fence,
                      std::unordered_map<std::string, uint64_t> versions, Hooks hooks)
     : loop_(loop),
       store_(store),
-      max_ops_(static_cast<size_t>(settings.state_txn_ops)),
+      most_ops_(static_cast<size_t>(settings.state_txn_ops)),
+      max_ops_(most_ops_),
       retry_s_(settings.report_s / 10),
       mutex_(mutex),
       cluster_(cluster),
@@ -50,7 +57,13 @@
   batch->importance = importance;
   // Half of what a transaction may hold altogether leaves room for keys, conditions and syntax.
   size_t room = wire::kMaxBody / 2;
-  for (const std::string& key : cluster_->TakeDirty(max_ops_)) {
+  const double now = net::SteadyNow();
+  std::erase_if(refused_until_, [&](const auto& entry) { return entry.second <= now; });
+  for (const std::string& key : cluster_->TakeDirty(max_ops_ + refused_until_.size())) {
+    if (refused_until_.contains(key) || batch->writes.size() == max_ops_) {
+      cluster_->OnNotStored(key);
+      continue;
+    }
     std::optional<wire::Json> value = cluster_->Render(key);
     const size_t size = value ? value->dump().size() : 0;
     if (size > room && !batch->writes.empty()) {
@@ -69,7 +82,10 @@
     if (!value && may_come_back_.contains(key)) value = core::EmptiedRecord();
     batch->writes.push_back({key, std::move(value), std::nullopt});
   }
-  if (batch->writes.empty()) return false;
+  if (batch->writes.empty()) {
+    if (!refused_until_.empty()) Later(10 * retry_s_, [this] { Kick(); });
+    return false;
+  }
   batch_ = std::move(batch);
   return true;
 }
@@ -118,10 +134,25 @@
       GiveBack();
       return Later(retry_s_, [this] { Kick(); });
     default:
-      spdlog::error("commit of {} records refused as malformed", batch_->writes.size());
-      GiveBack();
-      return Later(10 * retry_s_, [this] { Kick(); });
+      return OnMalformed();
+  }
+}
+
+// Too many changes, too large a value, or something the service won't have for a reason of its own;
+// its limits may have been lowered without notice. Fewer at a time, down to the record at fault,
+// which is then left alone for a while.
+void Committer::OnMalformed() {
+  const size_t count = batch_->writes.size();
+  if (count > 1) {
+    spdlog::info("commit of {} records refused as malformed, trying fewer", count);
+    max_ops_ = (count + 1) / 2;
+  } else {
+    spdlog::error("record {} refused as malformed", batch_->writes.front().key);
+    refused_until_[batch_->writes.front().key] = net::SteadyNow() + kRefusedRetries * retry_s_;
+    max_ops_ = most_ops_;
   }
+  GiveBack();
+  Later(retry_s_, [this] { Kick(); });
 }
 
 void Committer::Stored(const std::unordered_map<std::string, uint64_t>& versions) {
--- a/src/state/committer.h
+++ b/src/state/committer.h
@@ -45,6 +45,7 @@
   };
   bool Compose();
   void Send();
+  void OnMalformed();
   void OnAnswer(Outcome outcome, uint64_t revision, const std::vector<std::string>& failed);
   void Stored(const std::unordered_map<std::string, uint64_t>& versions);
   void GiveBack();
@@ -54,7 +55,8 @@
 
   net::EventLoop* loop_;
   StoreClient* store_;
-  const size_t max_ops_;
+  const size_t most_ops_;
+  size_t max_ops_;  // fewer while the service calls what was sent malformed
   const double retry_s_;
   std::mutex* mutex_;
   core::Cluster* cluster_;
@@ -62,6 +64,9 @@
   std::unordered_map<std::string, uint64_t> versions_;
   Hooks hooks_;
   std::unique_ptr<Batch> batch_;  // the transaction under way
+  // Records that the service called malformed by themselves, and until when they are left alone:
+  // they must not keep the others waiting.
+  std::unordered_map<std::string, double> refused_until_;
   // Created by transactions that were in doubt.
   std::unordered_set<std::string> may_come_back_;
   // Read-back of a batch in doubt.
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -353,10 +353,16 @@
     for (const Json& entry : *tasks) {
       Reader item(entry);
       std::string name;
+      std::string phase;
       ReportedTask task;
       item.String("shard", &name);
       item.Unsigned("strike", &task.attempt);
-      item.Enum("phase", kTaskPhases, &task.phase);
+      item.String("phase", &phase);
+      // A word that is not known: the task may still run.
+      task.phase = TaskPhase::kRunning;
+      for (const auto& [label, value] : kTaskPhases) {
+        if (phase == label) task.phase = value;
+      }
       if (task.phase == TaskPhase::kEnded) {
         // A cause that is not known must not cost the whole report: the task has ended all the
         // same.
--- a/tests/committer_test.cc
+++ b/tests/committer_test.cc
@@ -134,6 +134,27 @@
   EXPECT_FALSE(next.Render(key).has_value());
 }
 
+// The service's limits may be lowered without notice: nothing stalls, and what is at fault by
+// itself keeps nobody waiting.
+TEST_F(CommitterTest, LoweredLimitsStallNothing) {
+  size_t most = 2;
+  standin_.fate = [&](const Json& txn) {
+    const bool at_fault =
+        txn["writes"].size() > most ||
+        std::any_of(txn["writes"].begin(), txn["writes"].end(),
+                    [](const Json& w) { return w.value("put", "") == "zinclead/job/req-7"; });
+    return at_fault ? StandInStore::Fate::kMalformed : StandInStore::Fate::kNormal;
+  };
+  for (int i = 0; i < 20; ++i) Submit("req-" + std::to_string(i));
+  ASSERT_TRUE(Until([&] {
+    for (int i = 0; i < 20; ++i) {
+      if (i != 7 && !Durable("req-" + std::to_string(i))) return false;
+    }
+    return true;
+  }));
+  EXPECT_FALSE(Durable("req-7"));
+}
+
 TEST_F(CommitterTest, AnotherLeaderFencesItOff) {
   standin_.Execute(
       {{"when", Json::array()}, {"writes", {{{"put", election::kLeaderKey}, {"value", "other"}}}}});
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -61,6 +61,23 @@
   EXPECT_EQ(s.state_txn_ops, 8);
 }
 
+// What the state service will allow from some moment on holds from the start, where it is less.
+TEST(Settings, KeepsWithinTheLimitsToCome) {
+  Settings s;
+  std::string error;
+  const std::string next =
+      "txn_ops = 8\n[settings.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 40\n";
+  ASSERT_TRUE(ParseSettings(Replaced("txn_ops = 8\n", next), &s, &error)) << error;
+  EXPECT_EQ(s.state_rps, 150);
+  EXPECT_EQ(s.state_write_rps, 15);
+  EXPECT_EQ(s.ValueBytes(), 2048U);
+  EXPECT_EQ(s.state_txn_ops, 8);
+  EXPECT_FALSE(ParseSettings(
+      Replaced("txn_ops = 8\n", "txn_ops = 8\n[settings.state.next]\nvalue_kb = 0.0\n"), &s,
+      &error));
+  EXPECT_NE(error.find("settings.state.next.value_kb"), std::string::npos) << error;
+}
+
 TEST(Settings, NamesTheFieldAtFault) {
   const std::pair<std::string, std::pair<std::string, std::string>> faults[] = {
       {"listen", {"10.0.0.1:8080", "localhost:8080"}},
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -131,6 +131,13 @@
   spec.cpus = 3;
   spec.kind = wire::JobKind::kService;
   EXPECT_EQ(Submit(spec), SubmitOutcome::kUnprocessable);
+  spec.kind = wire::JobKind::kGang;
+  EXPECT_EQ(Submit(spec), SubmitOutcome::kUnprocessable);
+  spec.cpus = 1;
+  spec.one_zone = spec.spread = true;  // never together
+  EXPECT_EQ(Submit(spec), SubmitOutcome::kUnprocessable);
+  spec.cpus = 3;
+  spec.one_zone = spec.spread = false;
   spec.kind = wire::JobKind::kArray;
   EXPECT_EQ(Submit(spec), SubmitOutcome::kAccepted);
   EXPECT_EQ(Submit(spec), SubmitOutcome::kPendingStore);
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -124,6 +124,17 @@
   EXPECT_EQ(report->tasks[0].cause, EndCause::kOther);
 }
 
+// A word that this version does not know must not cost the report, and with it the machine's lease.
+TEST(Report, UnknownPhaseMayStillRun) {
+  std::string error;
+  const auto report = ParseReport(
+      R"({"anvil":"i-1","address":"x","alloy":"g8","yard":"a","scrap":false,"heat":1,"tally":1,
+          "mandate":0,"shards":[{"shard":"req-1/0","strike":1,"phase":"novel"}]})",
+      &error);
+  ASSERT_TRUE(report) << error;
+  EXPECT_EQ(report->tasks[0].phase, TaskPhase::kRunning);
+}
+
 // Any text at all from the other components is refused or understood, never a crash.
 RC_GTEST_PROP(Answers, AnyTextIsSafe, ()) {
   const std::string text = *rc::gen::arbitrary<std::string>();
