--- a/src/state/committer.cc
+++ b/src/state/committer.cc
@@ -83,7 +83,7 @@
     batch->writes.push_back({key, std::move(value), std::nullopt});
   }
   if (batch->writes.empty()) {
-    if (!refused_until_.empty()) Later(10 * retry_s_, [this] { Kick(); });
+    if (!refused_until_.empty()) Later(retry_s_, [this] { Kick(); });
     return false;
   }
   batch_ = std::move(batch);
