--- a/tests/cluster_model.h
+++ b/tests/cluster_model.h
@@ -167,7 +167,7 @@
   void OneReturns() { Elect(false); }
   // Workers go on reporting to the leader before the present one.
   void StayWithOldLeader(const std::vector<std::string>& machines, double for_s) {
-    for (const auto& id : machines) stay_with_[id] = {nodes_.size() - 2, now_ + for_s};
+    StayWithLeader(machines, nodes_.size() - 2, for_s);
   }
   void StayWithLeader(const std::vector<std::string>& machines, size_t leader, double for_s) {
     for (const auto& id : machines) stay_with_[id] = {leader, now_ + for_s};
