Progress of jobs stored in large chunks is split within the limits to come

Cause: a job that an older version stored with a chunk of 2048 or 4096 tasks kept it, so that after state.next took effect its progress was refused (400) until its end, and a takeover repeated its finished tasks. Now split in steps that both older versions read; what can't be split is stored as far as it fits; a cancellation fits whatever the description.

Formats: none is new.

Seen red without its guard (trials on a copy): the collapse, the split as a whole, keeping what is durable, progress that counts only once the job's record tells the chunk (MixedVersions); the shortened cancellation (CancellationOfALongDescriptionFits). Not seen red: the guard that leaves the job's record alone during a split; the order of writes alone already keeps it, the guard states it.

--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -9,9 +9,6 @@
 namespace zinclead::core {
 namespace {
 
-// A done set's text takes at most this many bytes a task, every second one being done ("9998,").
-constexpr uint32_t kDoneBytesPerTask = 4;
-
 Resources NeedOf(const wire::JobSpec& spec) { return {spec.cpus, spec.gpus, spec.memory_gb}; }
 
 Resources& ArrayUse(Machine* m, const Job& job) {
@@ -52,8 +49,7 @@
   job->need = NeedOf(spec);
   job->accepted_ms = accepted_ms;
   job->accepted_at = accepted_at;
-  job->done_chunk =
-      std::max(1U, static_cast<uint32_t>(settings_.ValueBytes()) / (4 * kDoneBytesPerTask));
+  job->done_chunk = ChunkSize();
   job->tasks.assign(spec.tasks, TaskState::kPending);
   job->pending = spec.tasks;
   return job;
@@ -280,12 +276,10 @@
   if (state == TaskState::kPending) --job->pending;
   state = TaskState::kDoneUnstored;
   ++job->done;
-  const uint32_t chunk = index / job->done_chunk;
   if (job->AllDone()) {
     MarkDirty(JobKey(job->spec.id), Importance::kUser);
   } else {
-    MarkDirty(chunk == 0 ? JobKey(job->spec.id) : DoneKey(job->spec.id, chunk),
-              Importance::kBackground);
+    MarkProgressDirty(job, index);
   }
 }
 
@@ -295,10 +289,8 @@
 
 void Cluster::FinishJobIfOver(Job* job) {
   if (job->final_state == FinalState::kNone || !job->attempts.empty()) return;
-  if (dirty_records_.contains(JobKey(job->spec.id)) ||
-      rendered_final_.contains(JobKey(job->spec.id))) {
-    return;
-  }
+  const std::string key = JobKey(job->spec.id);
+  if (dirty_records_.contains(key) || rendered_.contains(key)) return;
   // Inherited cancelled jobs may turn up on machines that have not been heard of yet.
   if (job->inherited && !settled_) return;
   finished_[job->spec.id] = {job->final_state, job->spec.tasks};
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -113,6 +113,13 @@
 enum class TaskState : uint8_t { kPending, kActive, kDoneUnstored, kDone };
 enum class FinalState : uint8_t { kNone, kDone, kCancelled };
 
+// Splits the progress of a job that another version stored in chunks too large for the limits that
+// hold now. Every state in between is one that every version reads without losing progress:
+// kCollapsing stores all of it in the job's record, with a chunk that covers the whole job, so that
+// other chunk records mean nothing; kWritingParts stores the smaller chunks beside it; kSwitching
+// stores the job's record with the smaller chunk size.
+enum class ChunkSplit : uint8_t { kNone, kCollapsing, kWritingParts, kSwitching };
+
 struct Job {
   uint64_t serial = 0;
   wire::JobSpec spec;
@@ -124,6 +131,8 @@
   bool cancel_wanted = false;
   FinalState final_state = FinalState::kNone;  // durable
   uint32_t done_chunk = 0;                     // tasks a chunk of the done set covers
+  ChunkSplit chunk_split = ChunkSplit::kNone;
+  std::set<uint32_t> parts_left;  // kWritingParts: chunk records that are not stored yet
   std::vector<TaskState> tasks;
   uint32_t pending = 0;
   uint32_t done = 0;         // in memory
@@ -348,6 +357,19 @@
   bool FitsType(const wire::JobSpec& spec, const wire::MachineType& type) const;
   bool LoadJob(const std::string& id, const wire::Json& value);
   bool LoadRent(const std::string& name, const wire::Json& value);
+  uint32_t ChunkSize() const;
+  void BeginChunkSplit(Job* job);
+  void WriteParts(Job* job);
+  void OnJobRecordStored(Job* job, uint32_t chunk);
+  void OnPartStored(Job* job, uint32_t chunk);
+  void MarkProgressDirty(Job* job, uint32_t index);
+  void DeleteChunks(const Job& job);
+  std::string RenderDoneSet(const Job& job, uint32_t first, uint32_t count, size_t max_bytes,
+                            std::vector<uint32_t>* covered) const;
+  std::optional<wire::Json> RenderChunk(const std::string& key, const Job& job, uint32_t chunk);
+  void Settle(Job* job, FinalState state, double now);
+  void MarkStored(Job* job, const std::vector<uint32_t>& done);
+  void OnRentStored(const std::string& key, const std::vector<std::string>& marks);
   void ApplyDone(Job* job, uint32_t first, const std::string& text);
 
   // machines.cc
@@ -405,9 +427,14 @@
   std::map<Dirty, std::string> dirty_order_;
   std::unordered_map<std::string, Dirty> taken_records_;
   uint64_t next_dirty_ = 1;
-  std::map<std::string, std::vector<uint32_t>> rendered_done_;  // done tasks a render covers
-  std::map<std::string, FinalState> rendered_final_;
-  std::map<std::string, std::vector<std::string>> rendered_marks_;
+  // What a record that was rendered and is not stored yet says.
+  struct Rendered {
+    std::vector<uint32_t> done;      // tasks whose completion it covers
+    std::vector<std::string> marks;  // machines that it says may hold tasks
+    FinalState final_state = FinalState::kNone;
+    uint32_t chunk = 0;  // of a job's record
+  };
+  std::unordered_map<std::string, Rendered> rendered_;
   // Done chunks that were read before their job.
   std::map<std::string, std::map<uint32_t, std::string>> loaded_done_;
   std::vector<std::string> settled_jobs_;
--- /dev/null
+++ b/src/core/progress.cc
@@ -0,0 +1,129 @@
+// Which tasks of a job are done, as its records hold it: in chunks, each within the state service's
+// limit for a value. The first chunk is in the job's own record.
+
+#include <algorithm>
+#include <bit>
+
+#include "core/cluster.h"
+#include "core/task_set.h"
+
+namespace zinclead::core {
+namespace {
+
+// A done set's text takes at most this many bytes a task, every second one being done ("9998,").
+constexpr uint32_t kDoneBytesPerTask = 4;
+
+// A done set takes at most this part of a value: half is the job's description, the rest is spare.
+constexpr uint32_t kDoneValueParts = 4;
+
+}  // namespace
+
+uint32_t Cluster::ChunkSize() const {
+  const auto bytes = static_cast<uint32_t>(settings_.ValueBytes());
+  return std::max(1U, bytes / (kDoneValueParts * kDoneBytesPerTask));
+}
+
+// The done tasks of a chunk as text. What is durable already must stay in it; of the rest as much
+// as fits `max_bytes`, and more follows when the text has become shorter. If not even what is
+// durable fits, all of it is returned: the state service refuses that, or takes it while its limits
+// last.
+std::string Cluster::RenderDoneSet(const Job& job, uint32_t first, uint32_t count, size_t max_bytes,
+                                   std::vector<uint32_t>* covered) const {
+  if (first >= job.spec.tasks) return "";
+  count = std::min(count, job.spec.tasks - first);
+  const auto encode = [&](uint32_t unstored_below) {
+    return EncodeTaskSet(count, [&](uint32_t i) {
+      const TaskState state = job.tasks[first + i];
+      return state == TaskState::kDone || (state == TaskState::kDoneUnstored && i < unstored_below);
+    });
+  };
+  std::string text = encode(count);
+  if (text.size() > max_bytes) {
+    uint32_t fits = 0;
+    for (uint32_t step = std::bit_floor(count); step > 0; step /= 2) {
+      if (fits + step <= count && encode(fits + step).size() <= max_bytes) fits += step;
+    }
+    std::string shorter = encode(fits);
+    if (shorter.size() <= max_bytes) text = std::move(shorter);
+  }
+  DecodeTaskSet(text, count, [&](uint32_t i) { covered->push_back(first + i); });
+  return text;
+}
+
+std::optional<wire::Json> Cluster::RenderChunk(const std::string& key, const Job& job,
+                                               uint32_t chunk) {
+  Rendered& rendered = rendered_[key] = {};
+  const bool splitting = job.chunk_split != ChunkSplit::kNone;
+  const uint32_t size = splitting ? ChunkSize() : job.done_chunk;
+  if (uint64_t{chunk} * size >= job.spec.tasks) return std::nullopt;
+  // Two bytes are the quotes of the JSON string.
+  std::string text =
+      RenderDoneSet(job, chunk * size, size, settings_.ValueBytes() - 2, &rendered.done);
+  // Until the job's record says the smaller chunk size, no reader understands this one.
+  if (splitting) rendered.done.clear();
+  if (text.empty()) return std::nullopt;
+  return wire::Json(std::move(text));
+}
+
+void Cluster::MarkProgressDirty(Job* job, uint32_t index) {
+  // Written when the split is over. Until then the job's record must not change: what it shows as
+  // done has to be in the smaller chunks before it says their size.
+  if (job->chunk_split != ChunkSplit::kNone) return;
+  const uint32_t chunk = index / job->done_chunk;
+  MarkDirty(chunk == 0 ? JobKey(job->spec.id) : DoneKey(job->spec.id, chunk),
+            Importance::kBackground);
+}
+
+void Cluster::BeginChunkSplit(Job* job) {
+  const wire::Json record{{"spec", wire::ToJson(job->spec)}, {"accepted_ms", job->accepted_ms}};
+  const size_t description = record.dump().size();
+  const size_t most = settings_.ValueBytes() / kDoneValueParts * (kDoneValueParts - 1);
+  if (description > most) return;  // its record can't be written any more, whatever the chunk
+  if (job->spec.tasks <= job->done_chunk) return WriteParts(job);
+  std::vector<uint32_t> covered;
+  const std::string done = RenderDoneSet(*job, 0, job->spec.tasks, std::string::npos, &covered);
+  // What does not fit one record stays in the chunks that it has, each with as much as fits.
+  if (description + done.size() > most) return;
+  job->chunk_split = ChunkSplit::kCollapsing;
+  MarkDirty(JobKey(job->spec.id), Importance::kBackground);
+}
+
+void Cluster::WriteParts(Job* job) {
+  job->chunk_split = ChunkSplit::kWritingParts;
+  for (uint32_t chunk = 1; uint64_t{chunk} * ChunkSize() < job->spec.tasks; ++chunk) {
+    job->parts_left.insert(chunk);
+    MarkDirty(DoneKey(job->spec.id, chunk), Importance::kBackground);
+  }
+  if (job->parts_left.empty()) OnPartStored(job, 0);
+}
+
+void Cluster::OnPartStored(Job* job, uint32_t chunk) {
+  if (job->chunk_split != ChunkSplit::kWritingParts) return;
+  job->parts_left.erase(chunk);
+  if (!job->parts_left.empty()) return;
+  job->chunk_split = ChunkSplit::kSwitching;
+  MarkDirty(JobKey(job->spec.id), Importance::kBackground);
+}
+
+void Cluster::OnJobRecordStored(Job* job, uint32_t chunk) {
+  if (job->chunk_split == ChunkSplit::kCollapsing && chunk == job->spec.tasks) {
+    job->done_chunk = chunk;
+    WriteParts(job);
+  } else if (job->chunk_split == ChunkSplit::kSwitching && chunk == ChunkSize()) {
+    job->done_chunk = chunk;
+    job->chunk_split = ChunkSplit::kNone;
+    for (uint32_t i = 0; i < job->spec.tasks; ++i) {
+      if (job->tasks[i] == TaskState::kDoneUnstored) MarkProgressDirty(job, i);
+    }
+  }
+}
+
+void Cluster::DeleteChunks(const Job& job) {
+  // Of a split that is not over there may be records in chunks of either size.
+  const uint32_t size = std::min(job.done_chunk, ChunkSize());
+  for (uint32_t chunk = 1; uint64_t{chunk} * size < job.spec.tasks; ++chunk) {
+    MarkDirty(DoneKey(job.spec.id, chunk), Importance::kBackground);
+  }
+}
+
+}  // namespace zinclead::core
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -12,10 +12,22 @@
 
 using wire::Json;
 
+// What the name of the done set and its quotes take in a job's record.
+constexpr size_t kDoneFieldBytes = 16;
+
 bool StartsWith(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+// Of a cancelled job the record keeps what may be left of it on machines: what it takes there, and
+// its team. The longest texts go, so that the cancellation can be stored whatever the limits.
+wire::JobSpec Shortened(wire::JobSpec spec) {
+  spec.types.reset();
+  spec.image.clear();
+  spec.job_class.clear();
+  return spec;
+}
+
 }  // namespace
 
 // ---------------------------------------------------------------------------------------------
@@ -129,11 +141,13 @@
       if (held) m->stage = MachineStage::kUp;
     }
   }
-  std::vector<Job*> over;
   for (auto& [key, job] : active_jobs_) {
-    if (job->AllDone()) over.push_back(job);
+    if (job->AllDone()) {
+      MarkDirty(JobKey(job->spec.id), Importance::kUser);
+    } else if (job->done_chunk > ChunkSize()) {
+      BeginChunkSplit(job);
+    }
   }
-  for (Job* job : over) MarkDirty(JobKey(job->spec.id), Importance::kUser);
   CheckSettled();
   dirty_ = true;
 }
@@ -185,25 +199,27 @@
 }
 
 Json Cluster::RenderJob(const std::string& key, Job* job) {
+  Rendered& rendered = rendered_[key] = {};
   if (job->final_state == FinalState::kDone ||
       (job->AllDone() && job->final_state == FinalState::kNone && !job->cancel_wanted)) {
-    rendered_final_[key] = FinalState::kDone;
+    rendered.final_state = FinalState::kDone;
     return {{"final", "done"}, {"tasks", job->spec.tasks}};
   }
   Json json{{"spec", wire::ToJson(job->spec)}, {"accepted_ms", job->accepted_ms}};
   if (job->cancel_wanted) {
-    rendered_final_[key] = FinalState::kCancelled;
+    rendered.final_state = FinalState::kCancelled;
     json["final"] = "cancelled";
+    if (json.dump().size() > settings_.ValueBytes())
+      json["spec"] = wire::ToJson(Shortened(job->spec));
     return json;
   }
-  json["chunk"] = job->done_chunk;
-  auto& covered = rendered_done_[key];
-  covered.clear();
-  const std::string done =
-      EncodeTaskSet(std::min(job->done_chunk, job->spec.tasks), [&](uint32_t i) {
-        if (job->tasks[i] == TaskState::kDoneUnstored) covered.push_back(i);
-        return job->tasks[i] == TaskState::kDone || job->tasks[i] == TaskState::kDoneUnstored;
-      });
+  rendered.chunk = job->done_chunk;
+  if (job->chunk_split == ChunkSplit::kCollapsing) rendered.chunk = job->spec.tasks;
+  if (job->chunk_split == ChunkSplit::kSwitching) rendered.chunk = ChunkSize();
+  json["chunk"] = rendered.chunk;
+  const size_t size = json.dump().size() + kDoneFieldBytes;
+  const size_t room = settings_.ValueBytes() - std::min(size, settings_.ValueBytes());
+  const std::string done = RenderDoneSet(*job, 0, rendered.chunk, room, &rendered.done);
   if (!done.empty()) json["done"] = done;
   return json;
 }
@@ -218,7 +234,7 @@
   if (rent.adopted) json["adopted"] = true;
   if (!rent.answered) return json;
   Json names = Json::object();
-  auto& marks = rendered_marks_[key];
+  std::vector<std::string>& marks = rendered_[key].marks;
   marks.clear();
   for (const auto& [id, held] : rent.machines) {
     const auto it = machines_.find(id);
@@ -253,14 +269,7 @@
     const Job* job = FindJob(rest.substr(0, slash));
     if (job == nullptr || job->final_state != FinalState::kNone) return std::nullopt;
     const auto chunk = static_cast<uint32_t>(std::strtoul(rest.c_str() + slash + 1, nullptr, 10));
-    const uint32_t first = chunk * job->done_chunk;
-    auto& covered = rendered_done_[key];
-    covered.clear();
-    return Json(EncodeTaskSet(std::min(job->done_chunk, job->spec.tasks - first), [&](uint32_t i) {
-      const TaskState state = job->tasks[first + i];
-      if (state == TaskState::kDoneUnstored) covered.push_back(first + i);
-      return state == TaskState::kDone || state == TaskState::kDoneUnstored;
-    }));
+    return RenderChunk(key, *job, chunk);
   }
   return std::nullopt;
 }
@@ -268,66 +277,70 @@
 void Cluster::OnStored(const std::string& key, double now) {
   dirty_ = true;
   taken_records_.erase(key);
+  const Rendered rendered = std::move(rendered_[key]);
+  rendered_.erase(key);
   if (StartsWith(key, kMachinePrefix)) {
-    const std::string name = key.substr(kMachinePrefix.size());
-    const auto it = rents_.find(name);
-    if (it == rents_.end()) return;
-    RentRecord* rent = it->second.get();
-    rent->stored = true;
-    for (const std::string& id : rendered_marks_[key]) {
-      const auto m = machines_.find(id);
-      if (m == machines_.end() || m->second->record != name) continue;
-      rent->machines[id] = true;
-      m->second->may_hold_tasks = true;
-    }
-    rendered_marks_.erase(key);
-    if (rent->answered && rent->machines.empty() && !dirty_records_.contains(key)) {
-      rents_.erase(it);
+    OnRentStored(key, rendered.marks);
+  } else if (StartsWith(key, kDonePrefix)) {
+    const std::string rest = key.substr(kDonePrefix.size());
+    const size_t slash = rest.find('/');
+    Job* job = FindJob(rest.substr(0, slash));
+    if (job == nullptr) return;
+    MarkStored(job, rendered.done);
+    OnPartStored(job, static_cast<uint32_t>(std::strtoul(rest.c_str() + slash + 1, nullptr, 10)));
+  } else if (StartsWith(key, kJobPrefix)) {
+    Job* job = FindJob(key.substr(kJobPrefix.size()));
+    if (job == nullptr) return;
+    MarkStored(job, rendered.done);
+    job->stored = true;
+    settled_jobs_.push_back(job->spec.id);
+    if (rendered.final_state == FinalState::kNone) {
+      OnJobRecordStored(job, rendered.chunk);
+    } else if (job->final_state == FinalState::kNone) {
+      Settle(job, rendered.final_state, now);
     }
-    return;
   }
-  std::string id;
-  if (StartsWith(key, kJobPrefix)) id = key.substr(kJobPrefix.size());
-  if (StartsWith(key, kDonePrefix)) {
-    id = key.substr(kDonePrefix.size());
-    id.resize(id.find('/'));
+}
+
+void Cluster::OnRentStored(const std::string& key, const std::vector<std::string>& marks) {
+  const std::string name = key.substr(kMachinePrefix.size());
+  const auto it = rents_.find(name);
+  if (it == rents_.end()) return;
+  RentRecord* rent = it->second.get();
+  rent->stored = true;
+  for (const std::string& id : marks) {
+    const auto m = machines_.find(id);
+    if (m == machines_.end() || m->second->record != name) continue;
+    rent->machines[id] = true;
+    m->second->may_hold_tasks = true;
   }
-  Job* job = FindJob(id);
-  if (job == nullptr) return;
-  if (const auto it = rendered_done_.find(key); it != rendered_done_.end()) {
-    for (const uint32_t index : it->second) {
-      if (job->tasks[index] != TaskState::kDoneUnstored) continue;
-      job->tasks[index] = TaskState::kDone;
-      ++job->done_stored;
-    }
-    rendered_done_.erase(it);
+  if (rent->answered && rent->machines.empty() && !dirty_records_.contains(key)) rents_.erase(it);
+}
+
+void Cluster::MarkStored(Job* job, const std::vector<uint32_t>& done) {
+  for (const uint32_t index : done) {
+    if (job->tasks[index] != TaskState::kDoneUnstored) continue;
+    job->tasks[index] = TaskState::kDone;
+    ++job->done_stored;
   }
-  if (!StartsWith(key, kJobPrefix)) return;
-  job->stored = true;
-  settled_jobs_.push_back(id);
-  const auto final_it = rendered_final_.find(key);
-  if (final_it == rendered_final_.end()) return;
-  const FinalState state = final_it->second;
-  rendered_final_.erase(final_it);
-  if (job->final_state != FinalState::kNone) return;
+}
+
+// The job's end is durable.
+void Cluster::Settle(Job* job, FinalState state, double now) {
   job->final_state = state;
-  if (active_jobs_.erase({job->accepted_ms, id}) > 0) --team_jobs_[job->spec.team];
+  if (active_jobs_.erase({job->accepted_ms, job->spec.id}) > 0) --team_jobs_[job->spec.team];
   if (state == FinalState::kDone) {
     for (TaskState& task : job->tasks) task = TaskState::kDone;
     job->done_stored = job->spec.tasks;
   }
   // Nothing of a finished job may run on: strays of a done job, everything of a cancelled one.
   StopJob(job, now);
-  for (uint32_t chunk = 1; chunk * job->done_chunk < job->spec.tasks; ++chunk) {
-    MarkDirty(DoneKey(id, chunk), Importance::kBackground);
-  }
+  DeleteChunks(*job);
   FinishJobIfOver(job);
 }
 
 void Cluster::OnNotStored(const std::string& key) {
-  rendered_done_.erase(key);
-  rendered_final_.erase(key);
-  rendered_marks_.erase(key);
+  rendered_.erase(key);
   // With the importance and the place it had: what could not be written must not push ahead of
   // users.
   if (const auto it = taken_records_.find(key); it != taken_records_.end()) {
--- /dev/null
+++ b/tests/compatibility_test.cc
@@ -0,0 +1,330 @@
+// What the versions that may run beside this one write, and what they read of this one's records.
+// tests/data/records-COMMIT.json holds records and messages that the core and wire packages of that
+// commit wrote, with 32 KiB to a value.
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <random>
+
+#include "core/cluster.h"
+#include "fixtures.h"
+
+namespace zinclead::core {
+namespace {
+
+constexpr double kLoweredKb = 2;
+
+using Records = std::map<std::string, wire::Json>;
+
+// An older version of the service, told by the largest chunk of progress that it writes.
+struct OldVersion {
+  const char* commit;
+  // The limit for a value with which this version's chunks are as large.
+  double value_kb;
+};
+void PrintTo(const OldVersion& version, std::ostream* out) { *out << version.commit; }
+constexpr OldVersion kOldVersions[] = {{"4ba1318", 64}, {"427e9d2", 32}};
+
+wire::Json Fixture(const OldVersion& version) {
+  std::ifstream file(std::string(ZINCLEAD_TEST_DATA) + "/records-" + version.commit + ".json");
+  return wire::Json::parse(file);
+}
+Records FixtureRecords(const OldVersion& version) {
+  return Fixture(version)["records"].get<Records>();
+}
+
+config::Settings WithLimit(double value_kb) {
+  config::Settings settings = testing::MakeSettings();
+  settings.state_value_kb = value_kb;
+  return settings;
+}
+std::unique_ptr<Cluster> Leader(const Records& records, double value_kb, uint64_t term,
+                                double now = 200) {
+  auto cluster = std::make_unique<Cluster>(WithLimit(value_kb), config::OperatorSettings(), term,
+                                           now, 1000 + now, 1);
+  for (const auto& [key, value] : records) EXPECT_TRUE(cluster->LoadRecord(key, value)) << key;
+  cluster->FinishLoading(now);
+  return cluster;
+}
+uint32_t DoneIn(const Records& records, const std::string& job, double value_kb) {
+  return Leader(records, value_kb, 9)->View(job)->done;
+}
+// Stores one record. Returns false if the state service refuses it for its size.
+bool StoreOne(Cluster* cluster, Records* records, double limit_kb, double now) {
+  const std::string key = cluster->TakeDirty(1).at(0);
+  const std::optional<wire::Json> value = cluster->Render(key);
+  if (value && static_cast<double>(value->dump().size()) > limit_kb * 1024) {
+    cluster->OnNotStored(key);
+    return false;
+  }
+  if (value) {
+    (*records)[key] = *value;
+  } else {
+    records->erase(key);
+  }
+  cluster->OnStored(key, now);
+  return true;
+}
+
+class OlderVersion : public ::testing::TestWithParam<OldVersion> {};
+INSTANTIATE_TEST_SUITE_P(Commits, OlderVersion, ::testing::ValuesIn(kOldVersions),
+                         [](const auto& param) { return param.param.commit; });
+
+TEST_P(OlderVersion, RecordsAreUnderstood) {
+  const auto leader = Leader(FixtureRecords(GetParam()), kLoweredKb, 4);
+  EXPECT_EQ(leader->View("req-000001")->done, 300U);
+  EXPECT_EQ(leader->View("req-000002")->phase, wire::JobPhase::kPending);
+  EXPECT_EQ(leader->jobs().at("req-000002")->spec.kind, wire::JobKind::kGang);
+  EXPECT_EQ(leader->View("req-000003")->phase, wire::JobPhase::kPending);
+  EXPECT_EQ(leader->View("req-000004")->phase, wire::JobPhase::kDone);
+  EXPECT_EQ(leader->View("req-000005")->phase, wire::JobPhase::kCancelled);
+  EXPECT_EQ(leader->View("req-000006")->done, 60U);
+  EXPECT_EQ(leader->machines().size(), 3U);
+  EXPECT_TRUE(leader->machines().at("i-000001")->may_hold_tasks);
+  EXPECT_TRUE(leader->HasMachineTypes());
+}
+
+// Written as the older version does, this version's records are the same to the letter: the
+// histories below may play an older leader by its chunk size alone.
+TEST_P(OlderVersion, RecordsAreWrittenAlike) {
+  const Records records = FixtureRecords(GetParam());
+  const auto leader = Leader(records, GetParam().value_kb, 4, 100.9);
+  for (const auto& [key, value] : records) {
+    if (value.contains("final") && value["final"] == "done") continue;  // never written again
+    const auto rendered = leader->Render(key);
+    ASSERT_TRUE(rendered.has_value()) << key;
+    EXPECT_EQ(*rendered, value) << key;
+  }
+}
+
+TEST_P(OlderVersion, MessagesAreUnderstoodAndWrittenAlike) {
+  const wire::Json fixture = Fixture(GetParam());
+  std::string error;
+  const auto report = wire::ParseReport(fixture["report"].dump(), &error);
+  ASSERT_TRUE(report.has_value()) << error;
+  EXPECT_EQ(wire::ToJson(*report), fixture["report"]);
+  const auto call = wire::ParseForwardedRequest(fixture["forward"].dump());
+  ASSERT_TRUE(call.has_value());
+  EXPECT_EQ(wire::ToJson(*call), fixture["forward"]);
+  const auto answer = wire::ParseForwardedResponse(fixture["forwarded"].dump());
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(wire::ToJson(*answer), fixture["forwarded"]);
+  const auto notice = wire::ParseLeaderNotice(fixture["notice"].dump());
+  ASSERT_TRUE(notice.has_value());
+  EXPECT_EQ(wire::ToJson(*notice), fixture["notice"]);
+  std::vector<wire::Command> commands;
+  for (const wire::Json& order : fixture["commands"]["orders"]) {
+    commands.push_back({wire::CommandOp::kStart, *wire::ParseTaskName(std::string(order["shard"])),
+                        order["strike"], 0});
+  }
+  EXPECT_EQ(wire::Json::parse(wire::CommandsBody(3, commands)), fixture["commands"]);
+}
+
+// Whoever leads after any of the steps, and however large its own chunks are, finds all that was
+// done; and in the end each record is within the lowered limit.
+TEST_P(OlderVersion, LargeProgressRecordsAreSplitWithoutLoss) {
+  Records records = FixtureRecords(GetParam());
+  const auto leader = Leader(records, kLoweredKb, 4);
+  int steps = 0;
+  while (leader->HasDirty()) {
+    ASSERT_TRUE(StoreOne(leader.get(), &records, kLoweredKb, 200));
+    ASSERT_LT(++steps, 1000) << "writes without an end";
+    for (const double reader_kb : {64.0, 32.0, kLoweredKb}) {
+      ASSERT_EQ(DoneIn(records, "req-000001", reader_kb), 300U) << "after write " << steps;
+      ASSERT_EQ(DoneIn(records, "req-000006", reader_kb), 60U) << "after write " << steps;
+    }
+  }
+  for (const auto& [key, value] : records) {
+    EXPECT_LE(value.dump().size(), kLoweredKb * 1024) << key;
+    if (value.contains("chunk")) {
+      EXPECT_LE(value["chunk"], 128U) << key;
+    }
+  }
+}
+
+// A job whose progress fits no single record keeps its chunks. Each then holds as much as fits, and
+// what a record has shown once stays in it.
+TEST_P(OlderVersion, ProgressThatCannotBeSplitIsStoredInPart) {
+  Records records;
+  wire::JobSpec spec = testing::MakeJob("req-1", 9000);
+  spec.cpus = spec.memory_gb = 0.0001;
+  std::string done;
+  for (uint32_t i = 0; i < 800; i += 2) done += (i == 0 ? "" : ",") + std::to_string(i);
+  records["zinclead/job/req-1"] = {
+      {"spec", wire::ToJson(spec)}, {"accepted_ms", 1100000}, {"chunk", GetParam().value_kb * 64}};
+  records["zinclead/tasks/req-1/1"] = done;
+  const auto leader = Leader(records, kLoweredKb, 4);
+  ASSERT_EQ(leader->jobs().at("req-1")->chunk_split, ChunkSplit::kNone);
+  leader->OnMachineTypes({testing::MakeType("c4", 4, 1.0)});
+  wire::Report report;
+  report.machine = "i-1";
+  report.type = "c4";
+  report.zone = "a";
+  report.session = 1;
+  report.token = 4;
+  for (int seen = 0; seen < 2; ++seen) {
+    ++report.seq;
+    leader->OnReport(report, 201 + seen);
+    while (leader->HasDirty()) StoreOne(leader.get(), &records, kLoweredKb, 202);
+  }
+  // Of the first chunk every second task has ended: over 4 KiB as text.
+  for (uint32_t i = 0; i < 2000; i += 2) {
+    report.tasks.push_back(
+        {{"req-1", i}, MakeAttempt(3, i), wire::TaskPhase::kEnded, wire::EndCause::kDone, false});
+  }
+  ++report.seq;
+  leader->OnReport(report, 203);
+  while (leader->HasDirty()) ASSERT_TRUE(StoreOne(leader.get(), &records, kLoweredKb, 203));
+  EXPECT_GE(DoneIn(records, "req-1", GetParam().value_kb), 400U + 300U);
+}
+
+// An older version accepts descriptions that take a quarter of its value; the cancellation of such
+// a job must be stored all the same, and count what may be left of it.
+TEST_P(OlderVersion, CancellationOfALongDescriptionFits) {
+  Records records = FixtureRecords(GetParam());
+  wire::JobSpec spec = testing::MakeJob("req-000009", 4);
+  spec.types.emplace(200, "a-type-with-a-long-name");
+  records["zinclead/job/req-000009"] = {
+      {"spec", wire::ToJson(spec)}, {"accepted_ms", 1100000}, {"chunk", 4096}};
+  const auto leader = Leader(records, kLoweredKb, 4);
+  while (leader->HasDirty()) StoreOne(leader.get(), &records, kLoweredKb, 200);
+  ASSERT_EQ(leader->Cancel("req-000009"), CancelOutcome::kPendingStore);
+  ASSERT_TRUE(StoreOne(leader.get(), &records, kLoweredKb, 200));
+  EXPECT_EQ(leader->View("req-000009")->phase, wire::JobPhase::kCancelled);
+  const auto next = Leader(records, GetParam().value_kb, 5);
+  EXPECT_EQ(next->View("req-000009")->phase, wire::JobPhase::kCancelled);
+  EXPECT_EQ(next->jobs().at("req-000009")->spec.cpus, spec.cpus);
+}
+
+// A job whose tasks end in any order under leaders of both formats, each of which may end at any
+// moment, while the state service's limit falls: what was stored once stays, nothing that a worker
+// was told to forget is lost, and in the end the job is done.
+class MixedHistory {
+ public:
+  explicit MixedHistory(uint32_t seed) : random_(seed), tasks_(1 + random_() % 3000) {}
+
+  void Play() {
+    NextLeader();
+    std::string error;
+    wire::JobSpec spec = testing::MakeJob("req-1", tasks_);
+    spec.cpus = spec.memory_gb = 0.001;
+    ASSERT_EQ(leader_->Submit(spec, now_, 1000 + now_, &error), SubmitOutcome::kAccepted) << error;
+    for (int step = 0; !Over(); ++step) {
+      ASSERT_LT(step, 5000) << "stalled with " << stored_ << " of " << tasks_ << " stored";
+      if (step == lowered_at_) {
+        limit_kb_ = kLoweredKb;
+        ++limits_lowered;
+      }
+      if (step < kTroubledSteps && stored_job_ && random_() % 12 == 0) NextLeader();
+      if (step == kTroubledSteps && value_kb_ > kLoweredKb) NextLeader(kLoweredKb);
+      if (::testing::Test::HasFatalFailure()) return;
+      Report();
+      Store();
+      now_ += 1;
+    }
+  }
+
+  static inline int limits_lowered = 0;
+  static inline int old_after_new = 0;
+  static inline int new_after_old = 0;
+  static inline int refused = 0;
+  static inline int changes_in_split = 0;
+
+ private:
+  static constexpr int kTroubledSteps = 150;
+
+  bool Over() const {
+    const auto view = leader_->View("req-1");
+    return view && view->final;
+  }
+
+  void NextLeader(double value_kb = 0) {
+    if (value_kb == 0) value_kb = std::array{kLoweredKb, 32.0, 64.0}[random_() % 3];
+    if (leader_ != nullptr && value_kb_ > kLoweredKb && value_kb == kLoweredKb) ++new_after_old;
+    if (leader_ != nullptr && value_kb_ == kLoweredKb && value_kb > kLoweredKb) ++old_after_new;
+    if (leader_ != nullptr && leader_->jobs().contains("req-1") &&
+        leader_->jobs().at("req-1")->chunk_split != ChunkSplit::kNone) {
+      ++changes_in_split;
+    }
+    value_kb_ = value_kb;
+    leader_ = Leader(records_, value_kb, ++term_, now_);
+    leader_->OnMachineTypes({testing::MakeType("c4", 4, 1.0)});
+    if (const auto view = leader_->View("req-1")) {
+      ASSERT_GE(view->done, stored_) << "what was stored is lost";
+    }
+  }
+
+  // The one machine: some of its tasks have ended since its last report.
+  void Report() {
+    wire::Report report;
+    report.machine = "i-1";
+    report.type = "c4";
+    report.zone = "a";
+    report.session = 1;
+    report.seq = ++seq_;
+    report.token = token_;
+    for (auto& [index, task] : listed_) {
+      if (task.phase == wire::TaskPhase::kRunning && random_() % 60 == 0) {
+        task.phase = wire::TaskPhase::kEnded;
+        task.cause = wire::EndCause::kDone;
+        ended_.insert(index);
+      }
+      report.tasks.push_back(task);
+    }
+    const auto result = leader_->OnReport(report, now_);
+    token_ = term_;
+    for (const wire::Command& command : result.commands) {
+      const uint32_t index = command.task.index;
+      if (command.op == wire::CommandOp::kStart) {
+        ASSERT_FALSE(ended_.contains(index)) << "a task that was done starts again: " << index;
+        listed_[index] = {command.task, command.attempt, wire::TaskPhase::kRunning,
+                          wire::EndCause::kNone, false};
+      } else if (command.op == wire::CommandOp::kForget) {
+        listed_.erase(index);
+      } else if (listed_.contains(index)) {
+        listed_[index].phase = wire::TaskPhase::kEnded;
+        listed_[index].cause = wire::EndCause::kHalted;
+      }
+    }
+  }
+
+  void Store() {
+    for (int left = static_cast<int>(random_() % 4); left > 0 && leader_->HasDirty(); --left) {
+      if (!StoreOne(leader_.get(), &records_, limit_kb_, now_)) ++refused;
+    }
+    const auto view = leader_->View("req-1");
+    stored_job_ = view && view->stored;
+    if (stored_job_) stored_ = std::max(stored_, view->done);
+  }
+
+  std::mt19937 random_;
+  const uint32_t tasks_;
+  const int lowered_at_ = static_cast<int>(random_() % (kTroubledSteps / 3));
+  double limit_kb_ = 64;
+  double value_kb_ = 0;
+  double now_ = 100;
+  uint64_t term_ = 0, token_ = 0, seq_ = 0;
+  uint32_t stored_ = 0;
+  bool stored_job_ = false;
+  Records records_;
+  std::unique_ptr<Cluster> leader_;
+  std::map<uint32_t, wire::ReportedTask> listed_;
+  std::set<uint32_t> ended_;
+};
+
+TEST(MixedVersions, ProgressSurvivesLeadersOfBothFormatsAndLoweredLimits) {
+  for (uint32_t seed = 1; seed <= 60; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    MixedHistory(seed).Play();
+    if (HasFailure()) return;
+  }
+  EXPECT_GT(MixedHistory::limits_lowered, 50);
+  EXPECT_GT(MixedHistory::old_after_new, 30);
+  EXPECT_GT(MixedHistory::new_after_old, 30);
+  EXPECT_GT(MixedHistory::changes_in_split, 10);
+  EXPECT_GT(MixedHistory::refused, 10);
+}
+
+}  // namespace
+}  // namespace zinclead::core
