Gangs live as a whole: one state machine decides what becomes of each task

core/gang.h holds a gang's states and events, core/gangs.cc what they do. A task lost before the gang has run is replaced under the same attempt number once all others have shown since that they wait; after that the rest is stopped at once. One done means all are. A gang that was not complete in time pauses, and no machine is blamed. Stops that save reach all tasks within gang_peer_s, or are not begun. Nothing starts while any old task may be on a machine. 422 for a spread gang that only one zone could take.

CoreTest's fixture moved to a header of its own.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -181,6 +181,8 @@
   s.report_s = reader.Amount(workers, "settings.workers.", "report_s");
   s.lease_s = reader.Amount(workers, "settings.workers.", "lease_s");
   s.cancel_s = reader.Amount(workers, "settings.workers.", "cancel_s");
+  s.gang_wait_s = reader.Amount(workers, "settings.workers.", "gang_wait_s", true);
+  s.gang_peer_s = reader.Amount(workers, "settings.workers.", "gang_peer_s", true);
   const toml::table& state = reader.Table(params, "settings.", "state");
   s.state_rps = reader.Amount(state, "settings.state.", "rps");
   s.state_write_rps = reader.Amount(state, "settings.state.", "write_rps");
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -57,6 +57,10 @@
   double report_s = 0;
   double lease_s = 0;
   double cancel_s = 0;
+  // How long a gang's task waits for the others, and how soon it notices that one is gone. 0 where
+  // the platform has no gangs.
+  double gang_wait_s = 0;
+  double gang_peer_s = 0;
   double state_rps = 0;
   double state_write_rps = 0;
   double state_value_kb = 0;
--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -52,6 +52,7 @@
   job->done_chunk = ChunkSize();
   job->tasks.assign(spec.tasks, TaskState::kPending);
   job->pending = spec.tasks;
+  if (spec.kind == wire::JobKind::kGang) job->gang.emplace();
   return job;
 }
 
@@ -89,16 +90,16 @@
     *error = "more than the team's limit";
     return SubmitOutcome::kUnprocessable;
   }
-  if (spec.kind == wire::JobKind::kGang && spec.one_zone && spec.spread && spec.tasks > 1) {
-    *error = "its tasks can never run together: all in one zone, and at most half in one";
-    return SubmitOutcome::kUnprocessable;
-  }
   if (types_.empty()) return SubmitOutcome::kUndecided;
   if (std::none_of(types_.begin(), types_.end(),
                    [&](const auto& entry) { return FitsType(spec, entry.second); })) {
     *error = "a task fits no allowed machine type";
     return SubmitOutcome::kUnprocessable;
   }
+  if (spec.kind == wire::JobKind::kGang && !CanStandTogether(spec)) {
+    *error = "its tasks can never run together: at most half of them may be in one zone";
+    return SubmitOutcome::kUnprocessable;
+  }
   if (!Admits(spec)) return SubmitOutcome::kBusy;
   const auto accepted_ms = static_cast<int64_t>(std::llround(wall_now * 1000));
   auto job = NewJob(spec, accepted_ms, now);
@@ -109,6 +110,17 @@
   return SubmitOutcome::kAccepted;
 }
 
+// A spread gang of more than one task needs two zones that have machines for it.
+bool Cluster::CanStandTogether(const wire::JobSpec& spec) const {
+  if (!spec.spread || spec.tasks == 1) return true;
+  if (spec.one_zone || spec.zone) return false;
+  std::set<std::string> zones;
+  for (const auto& [name, type] : types_) {
+    if (FitsType(spec, type)) zones.insert(type.zones.begin(), type.zones.end());
+  }
+  return zones.size() > 1;
+}
+
 // Half of the ceiling is shared; the other half is kept for the teams in equal parts, so that one
 // team's swarm can't lock the others out (DESIGN names this break).
 bool Cluster::Admits(const wire::JobSpec& spec) const {
@@ -226,7 +238,7 @@
   ReleaseRoom(a);
   Job* job = a->job;
   Machine* m = a->machine;
-  TaskBackToPending(job, a->index, a);
+  TaskBackToPending(a, wire::EndCause::kNone, now);
   unsent_services_.erase(KeyOf(*a));
   job->attempts.erase(a);
   m->attempts.erase(KeyOf(*a));
@@ -243,7 +255,10 @@
   }
 }
 
-void Cluster::TaskBackToPending(Job* job, uint32_t index, Attempt* from) {
+// `cause`: why it ended there; kNone if it is gone without having said so.
+void Cluster::TaskBackToPending(Attempt* from, wire::EndCause cause, double now) {
+  Job* job = from->job;
+  const uint32_t index = from->index;
   const auto it = job->active.find(index);
   if (it == job->active.end() || it->second != from) return;
   job->active.erase(it);
@@ -254,6 +269,7 @@
   // A service that has lost a task goes where a whole pass finds it the best place, not to
   // whichever machine reports until then.
   if (job->spec.kind == wire::JobKind::kService) job->tried = false;
+  if (job->gang) OnGangTaskLost(job, cause, now);
   dirty_ = true;
 }
 
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -23,6 +23,7 @@
 
 #include "config/operator_settings.h"
 #include "config/settings.h"
+#include "core/gang.h"
 #include "core/token_bucket.h"
 #include "wire/wire.h"
 
@@ -107,6 +108,8 @@
   double since = 0;         // when it was placed or first seen
   double running_since = 0;
   double stop_since = 0;
+  // A gang's task: reports since a task of the gang was lost that show it waiting.
+  int waiting_reports = 0;
 };
 
 // kDoneUnstored: completed, but a new leader would not know it from the store yet.
@@ -146,6 +149,7 @@
   bool tried = false;                       // a whole pass has looked for room for it
   std::map<std::string, double> failed_on;  // machines on which a task ended with an error, when
   double not_before = 0;
+  std::optional<Gang> gang;  // of a job whose tasks run together
 
   bool Live() const { return final_state == FinalState::kNone && !cancel_wanted; }
   bool AllDone() const { return done == spec.tasks; }
@@ -324,9 +328,19 @@
   void ReleaseRoom(Attempt* a);
   void RemoveAttempt(Attempt* a, double now);
   void DropAllAttempts(Machine* m, double now);
-  void TaskBackToPending(Job* job, uint32_t index, Attempt* from);
+  void TaskBackToPending(Attempt* from, wire::EndCause cause, double now);
   void StopAttempt(Attempt* a, double grace_s, double now);
   void MarkDone(Job* job, uint32_t index);
+  void OnTaskDone(Attempt* a, double now);
+  // gangs.cc
+  void StopGang(Job* job, bool save, double now);
+  void StopToSave(Attempt* a, double now);
+  void AdoptGangTask(Attempt* a, double now);
+  bool CanTellAll(const Job& job, double now) const;
+  void OnGangTaskListed(Attempt* a);
+  void OnGangTaskLost(Job* job, wire::EndCause cause, double now);
+  static bool MayReplaceLost(const Job& job);
+  static bool GangIsClear(Job* job);
   void StopJob(Job* job, double now);
   void FinishJobIfOver(Job* job);
 
@@ -340,6 +354,7 @@
     return m.may_hold_tasks && !m.acknowledged && !m.session_gone;
   }
   bool Admits(const wire::JobSpec& spec) const;
+  bool CanStandTogether(const wire::JobSpec& spec) const;
 
   struct Dirty {
     Importance importance = Importance::kNormal;
--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -225,10 +225,11 @@
 void Cluster::SaveBeforeNotice(Machine* m, double now) {
   if (!m->notice_at || m->deleting) return;
   for (auto& [key, a] : m->attempts) {
-    const double save_s = a->job->spec.save_s;
+    // A gang's tasks that have saved wait for the others.
+    const double wait_s = a->job->gang ? settings_.gang_peer_s : 0;
     if (a->job->spec.checkpoint_s > 0 && !a->stop &&
-        *m->notice_at - now <= 2 * save_s + 2 * settings_.report_s) {
-      StopAttempt(a.get(), save_s, now);
+        *m->notice_at - now <= 2 * a->job->spec.save_s + 2 * settings_.report_s + wait_s) {
+      StopToSave(a.get(), now);
     }
   }
 }
--- a/src/core/report.cc
+++ b/src/core/report.cc
@@ -242,6 +242,7 @@
     a = AddAttempt(m, job, listed.task.index, listed.attempt, now);
     if (!ended && may_adopt && job->Live() && job->tasks[a->index] == TaskState::kPending) {
       Activate(a);
+      if (job->gang) AdoptGangTask(a, now);
     } else if (!ended) {
       StopAttempt(a, 0, now);  // a stray: the task is over, or its place is elsewhere
     }
@@ -262,11 +263,10 @@
       --job->running;
     }
   }
-  if (OnMachine(phase)) {
-    m->images.insert(job->spec.image);
-    job->begun = true;
-  }
+  if (OnMachine(phase)) job->begun = true;
+  if (OnMachine(phase) || phase == AttemptPhase::kWaiting) m->images.insert(job->spec.image);
   a->phase = phase;
+  if (job->gang) OnGangTaskListed(a);
   if (job->final_state != FinalState::kNone) StopAttempt(a, 0, now);
 }
 
@@ -280,15 +280,10 @@
   if (cause == wire::EndCause::kDone) {
     job->begun = true;
     m->failed_jobs.clear();
-    if (job->Live()) {
-      const auto it = job->active.find(a->index);
-      if (it != job->active.end() && it->second != a) StopAttempt(it->second, 0, now);
-      MarkDone(job, a->index);
-      job->active.erase(a->index);
-    }
+    if (job->Live()) OnTaskDone(a, now);
     return;
   }
-  TaskBackToPending(job, a->index, a);
+  TaskBackToPending(a, cause, now);
   switch (cause) {
     case wire::EndCause::kError:
       OnTaskError(m, job, now);
@@ -306,6 +301,21 @@
   }
 }
 
+void Cluster::OnTaskDone(Attempt* a, double now) {
+  Job* job = a->job;
+  if (job->gang) {
+    // The tasks of a gang complete together.
+    job->gang->On(GangEvent::kDone);
+    for (uint32_t index = 0; index < job->spec.tasks; ++index) MarkDone(job, index);
+    job->active.clear();
+    return;
+  }
+  const auto it = job->active.find(a->index);
+  if (it != job->active.end() && it->second != a) StopAttempt(it->second, 0, now);
+  MarkDone(job, a->index);
+  job->active.erase(a->index);
+}
+
 void Cluster::OnTaskError(Machine* m, Job* job, double now) {
   job->failed_on[m->id] = now;
   m->failed_jobs.insert(job->spec.id);
@@ -322,7 +332,7 @@
 
 void Cluster::Retire(Machine* m, double now) {
   m->retiring = true;
-  for (auto& [key, a] : m->attempts) StopAttempt(a.get(), a->job->spec.save_s, now);
+  for (auto& [key, a] : m->attempts) StopToSave(a.get(), now);
   dirty_ = true;
 }
 
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -69,7 +69,7 @@
     open_.assign(1, m);
     for (Job* job : order_) {
       if (!least_.Fits(FreeOf(*m))) return;
-      if (!job->tried || job->spec.kind == wire::JobKind::kGang) continue;
+      if (!job->tried || job->gang) continue;
       if (job->spec.one_zone && job->zone_counts.empty()) continue;
       one_zone_.reset();
       PlaceOn(job, [](const Machine&) { return true; });
@@ -250,13 +250,15 @@
   }
 
   // The team's limit counts everything of the team that may be on a machine.
-  bool WithinLimit(const Job& job) const {
+  bool WithinLimit(const Job& job, uint32_t tasks = 1) const {
     const config::Team* team = TeamOf(job);
     if (team == nullptr) return false;
     constexpr double kSlack = 1e-6;
     const Resources& used = c_.team_usage_[job.spec.team];
-    return (team->cpus_max <= 0 || used.cpus + job.need.cpus <= team->cpus_max + kSlack) &&
-           (team->gpus_max <= 0 || used.gpus + job.need.gpus <= team->gpus_max + kSlack);
+    const double cpus = used.cpus + tasks * job.need.cpus;
+    const double gpus = used.gpus + tasks * job.need.gpus;
+    return (team->cpus_max <= 0 || cpus <= team->cpus_max + kSlack) &&
+           (team->gpus_max <= 0 || gpus <= team->gpus_max + kSlack);
   }
 
   bool TypeAllowed(const Job& job, const std::string& type) const {
@@ -336,7 +338,7 @@
     job->tried = true;
     one_zone_.reset();
     if (job->spec.one_zone && job->zone_counts.empty()) ChooseZone(*job);
-    if (job->spec.kind == wire::JobKind::kGang) return PlaceGang(job);
+    if (job->gang) return PlaceGang(job);
     const Search search = SearchOf(*job);
     if (!Known(full_, search)) PlaceWhereFree(job);
     if (job->pending == 0 || !WithinLimit(*job)) return;
@@ -386,24 +388,22 @@
            });
   }
 
-  // A gang starts only when all its tasks fit. When some of it is lost the rest is stopped, and
-  // everything starts anew.
+  // A gang starts only when all its tasks fit. What is lost of it before it has run is replaced;
+  // otherwise it starts anew, once nothing of it is left anywhere.
   void PlaceGang(Job* job) {
-    if (!job->active.empty()) {
-      for (auto& [index, a] : job->active) c_.StopAttempt(a, job->spec.save_s, now_);
-      return;
-    }
-    const config::Team* team = TeamOf(*job);
-    const Resources& used = c_.team_usage_[job->spec.team];
-    if (team == nullptr ||
-        (team->cpus_max > 0 && used.cpus + job->pending * job->need.cpus > team->cpus_max) ||
-        (team->gpus_max > 0 && used.gpus + job->pending * job->need.gpus > team->gpus_max)) {
+    const bool replaces = c_.MayReplaceLost(*job);
+    if (!replaces && !c_.GangIsClear(job)) {
+      // An earlier leader's attempt of which tasks are missing now that all machines were heard.
+      if (job->gang->state() != GangState::kWaiting || !job->gang->MayReplace()) {
+        c_.StopGang(job, false, now_);
+      }
       return;
     }
+    if (!WithinLimit(*job, job->pending)) return;
     std::vector<Machine*> places;
     std::map<std::string, int> planned;
     for (Machine* m : open_) {
-      if (!MachineSuits(*job, *m)) continue;
+      if (!MachineSuits(*job, *m) || (replaces && Knows(*m, *job))) continue;
       Resources free = FreeOf(*m);
       while (places.size() < job->pending && job->need.Fits(free) &&
              ZoneAllowed(*job, m->zone, planned)) {
@@ -414,8 +414,8 @@
     }
     if (places.size() == job->pending) {
       // Workers let a gang's tasks go when all of one attempt have come: they share its number.
-      const uint64_t number = MakeAttempt(c_.term_, c_.next_attempt_++);
-      for (Machine* m : places) Place(job, m, number);
+      if (!replaces) job->gang->OnPlaced(MakeAttempt(c_.term_, c_.next_attempt_++));
+      for (Machine* m : places) Place(job, m, job->gang->attempt());
       return;
     }
     // A stream of smaller work would fill each room that is freed before all of it is there.
@@ -427,6 +427,12 @@
     if (left > 0) Rent(*job, left, &planned);
   }
 
+  // A worker that has had a task does not start it again with the same attempt number.
+  static bool Knows(const Machine& m, const Job& job) {
+    return std::any_of(m.attempts.begin(), m.attempts.end(),
+                       [&](const auto& entry) { return entry.second->job == &job; });
+  }
+
   // A zone with a controller can be led from inside when it is cut off; in one without, all leases
   // end. Services, which should never be down, go to the former as far as there is room.
   bool Covered(const std::string& zone) const {
@@ -689,7 +695,7 @@
           chosen.push_back(victim);
         }
         if (!job->need.Fits(room)) break;
-        for (Attempt* a : chosen) c_.StopAttempt(a, urgent ? 0 : a->job->spec.save_s, now_);
+        for (Attempt* a : chosen) Displace(a, urgent);
         next = look;
         coming = room;
         coming -= job->need;
@@ -702,6 +708,15 @@
     return left;
   }
 
+  // `urgent`: nobody waits for it to save. A gang is never stopped in part.
+  void Displace(Attempt* a, bool urgent) {
+    if (a->job->gang) {
+      c_.StopGang(a->job, !urgent && c_.CanTellAll(*a->job, now_), now_);
+    } else {
+      c_.StopAttempt(a, urgent ? 0 : a->job->spec.save_s, now_);
+    }
+  }
+
   void FindUpcoming() {
     upcoming_known_ = true;
     for (const auto& [id, m] : c_.machines_) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -24,6 +24,8 @@
 inline constexpr double kReportPatienceS = 4;
 // A worker reports changes at once, but not more often than this.
 inline constexpr double kLeastBetweenReportsS = 0.5;
+// Workers report every report period, plus or minus a quarter.
+inline constexpr double kLatestReportShare = 1.25;
 // The cloud charges at least this much of a machine's time.
 inline constexpr double kMinChargeS = 60;
 inline constexpr int kMaxRentCount = 50;
@@ -31,8 +33,7 @@
 inline constexpr int kMaxMachinesPerPage = 500;
 inline constexpr int kMaxKeysPerPage = 1000;
 
-// Gangs are not in PROTOCOL's table of kinds, but the platform's settings and its rehearsal know
-// them: all tasks run together or not at all.
+// kGang: all tasks run at the same time, or none does.
 enum class JobKind : uint8_t { kArray, kGang, kService };
 // Ordered: the smaller value is served first.
 enum class Priority : uint8_t { kProduction, kHigh, kNormal, kLow };
--- a/tests/cluster_model_test.cc
+++ b/tests/cluster_model_test.cc
@@ -25,6 +25,7 @@
   std::vector<uint32_t> seeds(Histories());
   source.generate(seeds.begin(), seeds.end());
   coverage = {};
+  SimulatedGangs::coverage = {};
   for (const uint32_t seed : seeds) {
     SCOPED_TRACE("history " + std::to_string(seed));
     World(seed, World::Kind::kTroubled).Run();
@@ -51,6 +52,17 @@
   EXPECT_GT(coverage.limit_takeovers, 20);
   EXPECT_GT(coverage.zone_takeovers, 20);
   EXPECT_GT(coverage.repeats, 100);
+  EXPECT_GT(coverage.notices, 100);
+  EXPECT_GT(coverage.waiting_takeovers, 100);
+  EXPECT_GT(coverage.done_takeovers, 20);
+  EXPECT_GT(SimulatedGangs::coverage.started, 1000);
+  EXPECT_GT(SimulatedGangs::coverage.replaced, 50);
+  EXPECT_GT(SimulatedGangs::coverage.incomplete, 50);
+  EXPECT_GT(SimulatedGangs::coverage.peers, 100);
+  EXPECT_GT(SimulatedGangs::coverage.hung, 50);
+  EXPECT_GT(SimulatedGangs::coverage.saved, 20);
+  EXPECT_GT(SimulatedGangs::coverage.save_failed, 2);
+  EXPECT_GT(SimulatedGangs::coverage.resumed, 20);
 }
 
 }  // namespace
--- a/tests/compatibility_test.cc
+++ b/tests/compatibility_test.cc
@@ -290,9 +290,13 @@
   }
 
   void Store() {
+    // Now and then the first record waits and another one goes ahead of it.
+    std::vector<std::string> waiting;
+    if (random_() % 3 == 0) waiting = leader_->TakeDirty(1);
     for (int left = static_cast<int>(random_() % 4); left > 0 && leader_->HasDirty(); --left) {
       if (!StoreOne(leader_.get(), &records_, limit_kb_, now_)) ++refused;
     }
+    for (const std::string& key : waiting) leader_->OnNotStored(key);
     const auto view = leader_->View("req-1");
     stored_job_ = view && view->stored;
     if (stored_job_) stored_ = std::max(stored_, view->done);
--- a/tests/fixtures.h
+++ b/tests/fixtures.h
@@ -24,6 +24,8 @@
   s.report_s = 2;
   s.lease_s = 10;
   s.cancel_s = 24;
+  s.gang_wait_s = 20;
+  s.gang_peer_s = 4;
   s.state_rps = 100;
   s.state_write_rps = 50;
   s.state_value_kb = 8;
--- /dev/null
+++ b/tests/gang_test.cc
@@ -0,0 +1,282 @@
+// The life of a gang, state by state and event by event, and what the core makes of it.
+
+#include "core/gang.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "core_fixture.h"
+
+namespace zinclead::core {
+namespace {
+
+using State = GangState;
+using Event = GangEvent;
+
+struct Transition {
+  State from;
+  Event event;
+  State to;
+};
+
+TEST(Gang, EachEventInEachState) {
+  const Transition table[] = {
+      {State::kPlacing, Event::kPlaced, State::kWaiting},
+      {State::kPlacing, Event::kAdopted, State::kWaiting},
+      {State::kPlacing, Event::kSeenRunning, State::kPlacing},
+      {State::kPlacing, Event::kTaskLost, State::kPlacing},
+      {State::kPlacing, Event::kGaveUp, State::kPlacing},
+      {State::kPlacing, Event::kStopWanted, State::kPlacing},
+      {State::kPlacing, Event::kCleared, State::kPlacing},
+      {State::kPlacing, Event::kDone, State::kEnded},
+      {State::kWaiting, Event::kPlaced, State::kWaiting},
+      {State::kWaiting, Event::kAdopted, State::kWaiting},
+      {State::kWaiting, Event::kSeenRunning, State::kRunning},
+      {State::kWaiting, Event::kTaskLost, State::kWaiting},
+      {State::kWaiting, Event::kGaveUp, State::kStopping},
+      {State::kWaiting, Event::kStopWanted, State::kStopping},
+      {State::kWaiting, Event::kCleared, State::kPlacing},
+      {State::kWaiting, Event::kDone, State::kEnded},
+      {State::kRunning, Event::kPlaced, State::kRunning},
+      {State::kRunning, Event::kAdopted, State::kRunning},
+      {State::kRunning, Event::kSeenRunning, State::kRunning},
+      {State::kRunning, Event::kTaskLost, State::kStopping},
+      {State::kRunning, Event::kGaveUp, State::kStopping},
+      {State::kRunning, Event::kStopWanted, State::kStopping},
+      {State::kRunning, Event::kCleared, State::kPlacing},
+      {State::kRunning, Event::kDone, State::kEnded},
+      {State::kStopping, Event::kPlaced, State::kStopping},
+      {State::kStopping, Event::kAdopted, State::kStopping},
+      {State::kStopping, Event::kSeenRunning, State::kStopping},
+      {State::kStopping, Event::kTaskLost, State::kStopping},
+      {State::kStopping, Event::kGaveUp, State::kStopping},
+      {State::kStopping, Event::kStopWanted, State::kStopping},
+      {State::kStopping, Event::kCleared, State::kPlacing},
+      {State::kStopping, Event::kDone, State::kEnded},
+      {State::kEnded, Event::kPlaced, State::kEnded},
+      {State::kEnded, Event::kAdopted, State::kEnded},
+      {State::kEnded, Event::kSeenRunning, State::kEnded},
+      {State::kEnded, Event::kTaskLost, State::kEnded},
+      {State::kEnded, Event::kGaveUp, State::kEnded},
+      {State::kEnded, Event::kStopWanted, State::kEnded},
+      {State::kEnded, Event::kCleared, State::kEnded},
+      {State::kEnded, Event::kDone, State::kEnded},
+  };
+  for (const auto& [from, event, to] : table) {
+    EXPECT_EQ(NextGangState(from, event), to)
+        << "state " << static_cast<int>(from) << ", event " << static_cast<int>(event);
+  }
+}
+
+TEST(Gang, OnlyAnOwnAttemptThatHasNotRunIsCompleted) {
+  Gang own;
+  own.OnPlaced(7);
+  EXPECT_TRUE(own.MayReplace());
+  own.On(Event::kSeenRunning);
+  EXPECT_FALSE(own.MayReplace());
+  Gang inherited;
+  inherited.OnAdopted(7);
+  EXPECT_EQ(inherited.attempt(), 7U);
+  EXPECT_FALSE(inherited.MayReplace());
+  inherited.OnAdopted(7);
+  EXPECT_EQ(inherited.state(), State::kWaiting);
+  inherited.OnAdopted(8);  // tasks of two attempts never run together
+  EXPECT_EQ(inherited.state(), State::kStopping);
+}
+
+TEST(Gang, StopsOrderlyOnlyWhereAnswersAreSoonEnough) {
+  config::Settings settings = testing::MakeSettings();
+  settings.report_s = 5;
+  settings.gang_peer_s = 8;
+  EXPECT_TRUE(CanStopOrderly(settings));
+  settings.gang_peer_s = 6;  // the last machine may be told after 6.25 s
+  EXPECT_FALSE(CanStopOrderly(settings));
+  settings.gang_peer_s = 0;
+  EXPECT_FALSE(CanStopOrderly(settings));
+}
+
+class GangCoreTest : public CoreTest {
+ protected:
+  using Tasks = std::map<std::string, wire::ReportedTask>;
+
+  wire::JobSpec MakeGang(uint32_t tasks) {
+    wire::JobSpec spec = testing::MakeJob("req-1", tasks);
+    spec.kind = wire::JobKind::kGang;
+    spec.cpus = 3;  // one task a machine
+    return spec;
+  }
+  // A gang of two tasks, each on its own machine.
+  void StartTwo() {
+    Submit(MakeGang(2));
+    Store();
+    Ready("i-1", &first_);
+    Ready("i-2", &second_);
+    Hello("i-1", &first_);
+    ASSERT_EQ(first_.size(), 1U);
+    ASSERT_EQ(second_.size(), 1U);
+  }
+  static wire::ReportedTask& Only(Tasks* tasks) { return tasks->begin()->second; }
+  static void SetPhase(Tasks* tasks, wire::TaskPhase phase) { Only(tasks).phase = phase; }
+  static void End(Tasks* tasks, wire::EndCause cause) {
+    Only(tasks).phase = wire::TaskPhase::kEnded;
+    Only(tasks).cause = cause;
+  }
+  static bool Has(const std::vector<wire::Command>& commands, wire::CommandOp op) {
+    return std::any_of(commands.begin(), commands.end(),
+                       [&](const wire::Command& command) { return command.op == op; });
+  }
+
+  Tasks first_, second_;
+};
+
+TEST_F(GangCoreTest, StartsOnlyWhenAllOfItFits) {
+  Submit(MakeGang(2));
+  Store();
+  Ready("i-1", &first_);
+  EXPECT_TRUE(first_.empty()) << "started in part";
+  Ready("i-2", &second_);
+  Hello("i-1", &first_);
+  ASSERT_EQ(first_.size(), 1U);
+  ASSERT_EQ(second_.size(), 1U);
+  EXPECT_EQ(Only(&first_).attempt, Only(&second_).attempt);
+}
+
+TEST_F(GangCoreTest, RefusesWhatCanNeverStandTogether) {
+  struct Case {
+    const char* name;
+    std::function<void(wire::JobSpec*)> change;
+    SubmitOutcome outcome;
+  };
+  const Case cases[] = {
+      {"spread over the zones", [](wire::JobSpec* s) { s->spread = true; },
+       SubmitOutcome::kAccepted},
+      {"spread in one named zone",
+       [](wire::JobSpec* s) {
+         s->spread = true;
+         s->zone = "a";
+       },
+       SubmitOutcome::kUnprocessable},
+      {"spread and in one zone", [](wire::JobSpec* s) { s->spread = s->one_zone = true; },
+       SubmitOutcome::kUnprocessable},
+      {"one task, spread, in one zone",
+       [](wire::JobSpec* s) {
+         s->tasks = 1;
+         s->spread = s->one_zone = true;
+       },
+       SubmitOutcome::kAccepted},
+      {"each task within the team's limit, not all",
+       [](wire::JobSpec* s) {
+         s->team = "capped";
+         s->tasks = 3;
+       },
+       SubmitOutcome::kUnprocessable},
+      {"all within the team's limit", [](wire::JobSpec* s) { s->team = "capped"; },
+       SubmitOutcome::kAccepted},
+  };
+  int number = 1;
+  for (const Case& c : cases) {
+    wire::JobSpec spec = MakeGang(2);
+    spec.id = "req-" + std::to_string(number++);
+    c.change(&spec);
+    EXPECT_EQ(Submit(spec), c.outcome) << c.name;
+  }
+}
+
+TEST_F(GangCoreTest, NothingIsRefusedBeforeTheTypesAreKnown) {
+  Cluster fresh(settings_, tuning_, 99, now_, 1000 + now_, 1);
+  std::string error;
+  EXPECT_EQ(fresh.Submit(MakeGang(2), now_, 1000 + now_, &error), SubmitOutcome::kUndecided);
+}
+
+// That the gang was not complete in time is no machine's fault, and is tried again after a pause.
+TEST_F(GangCoreTest, IncompleteIsRetriedWithAPause) {
+  StartTwo();
+  SetPhase(&first_, wire::TaskPhase::kWaiting);
+  SetPhase(&second_, wire::TaskPhase::kFetching);
+  Hello("i-2", &second_);
+  End(&first_, wire::EndCause::kIncomplete);
+  const uint64_t attempt = Only(&first_).attempt;
+  Hello("i-1", &first_);
+  EXPECT_TRUE(Has(Hello("i-2", &second_), wire::CommandOp::kStop));
+  EXPECT_TRUE(cluster_->machines().at("i-1")->failed_jobs.empty());
+  EXPECT_FALSE(cluster_->machines().at("i-1")->retiring);
+  const double gave_up_at = now_;
+  while (first_.empty() && now_ < gave_up_at + 10 * tuning_.retry_s) {
+    (void)cluster_->Schedule(now_);
+    Hello("i-2", &second_);
+    Hello("i-1", &first_);
+  }
+  EXPECT_GE(now_ - gave_up_at, tuning_.retry_s * 0.9);
+  EXPECT_LE(now_ - gave_up_at, tuning_.retry_s * 2);
+  ASSERT_EQ(first_.size(), 1U);
+  EXPECT_NE(Only(&first_).attempt, attempt);
+}
+
+// A task that reports `running` until it exits with `peers` is on its machine: nothing of the gang
+// starts before.
+TEST_F(GangCoreTest, NothingStartsWhileAnOldTaskRuns) {
+  StartTwo();
+  Hello("i-1", &first_);
+  Hello("i-2", &second_);
+  End(&second_, wire::EndCause::kPeers);
+  Hello("i-2", &second_);
+  for (int i = 0; i < 20; ++i) {
+    // The first machine goes on showing it as running, whatever it is told.
+    const wire::ReportedTask running{{"req-1", 0},
+                                     Only(&first_).attempt,
+                                     wire::TaskPhase::kRunning,
+                                     wire::EndCause::kNone,
+                                     false};
+    first_ = {{"req-1/0", running}};
+    EXPECT_FALSE(Has(Hello("i-1", &first_), wire::CommandOp::kStart));
+    EXPECT_FALSE(Has(Hello("i-2", &second_), wire::CommandOp::kStart));
+  }
+  first_ = {
+      {"req-1/0",
+       {{"req-1", 0}, MakeAttempt(1, 1), wire::TaskPhase::kEnded, wire::EndCause::kPeers, false}}};
+}
+
+// One done means that all are, whichever machine says so first, and a new leader that hears of one
+// alone knows it too.
+TEST_F(GangCoreTest, OneDoneMeansAllAreDone) {
+  StartTwo();
+  Hello("i-2", &second_);
+  End(&first_, wire::EndCause::kDone);
+  Restart();
+  token_ = term_ - 1;
+  EXPECT_EQ(cluster_->View("req-1")->done, 0U);
+  Hello("i-1", &first_);
+  EXPECT_EQ(cluster_->View("req-1")->phase, wire::JobPhase::kDone);
+  EXPECT_EQ(cluster_->View("req-1")->done, 2U);
+}
+
+// A faulty machine is left by the gang as a whole, with time to save for each task.
+TEST_F(GangCoreTest, NoTaskOfItIsStoppedAlone) {
+  wire::JobSpec spec = MakeGang(2);
+  spec.checkpoint_s = 10;
+  spec.save_s = 2;
+  spec.spot = true;
+  Submit(spec);
+  Store();
+  Ready("i-1", &first_);
+  Ready("i-2", &second_);
+  Hello("i-1", &first_);
+  Hello("i-1", &first_);
+  Hello("i-2", &second_);
+  now_ += settings_.report_s / 10;
+  wire::Report report = MakeReport("i-1", term_);
+  report.notice_s = 3;
+  report.tasks = {Only(&first_)};
+  (void)cluster_->OnReport(report, now_);
+  (void)cluster_->Schedule(now_);
+  for (auto& [id, tasks] : {std::pair{"i-1", &first_}, std::pair{"i-2", &second_}}) {
+    const auto commands = Hello(id, tasks);
+    ASSERT_TRUE(Has(commands, wire::CommandOp::kStop)) << id;
+    EXPECT_GE(commands.front().grace_s, spec.save_s) << id;
+  }
+}
+
+}  // namespace
+}  // namespace zinclead::core
