Room is kept for gangs that should start sooner than a machine boots

Cause (nptc next, waits of transkripsie and tolkgroep): gangs were placed when all fit, and arrays filled each room that gangs left behind, so that the next gang waited for boots of 20 s against objectives of 5 and 20 s. What comes of a class while a machine boots, at least its largest gang of late, is now left free in one zone, and rented for; classes whose objective leaves time for a boot (hljod next) need none.

A lost task of a gang no longer waits for the next retry once it may be replaced. Seen red without its guard: TheRestIsStoppedWhenATaskOfARunningGangIsLost, PeersTellThatTheAttemptHasRun, ALostTaskIsNotReplacedWhereItIsKnown.

--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -9,8 +9,6 @@
 namespace zinclead::core {
 namespace {
 
-Resources NeedOf(const wire::JobSpec& spec) { return {spec.cpus, spec.gpus, spec.memory_gb}; }
-
 Resources& ArrayUse(Machine* m, const Job& job) {
   return m->array_use[static_cast<size_t>(job.spec.priority)];
 }
@@ -52,7 +50,10 @@
   job->done_chunk = ChunkSize();
   job->tasks.assign(spec.tasks, TaskState::kPending);
   job->pending = spec.tasks;
-  if (spec.kind == wire::JobKind::kGang) job->gang.emplace();
+  if (spec.kind == wire::JobKind::kGang) {
+    job->gang.emplace();
+    gang_arrivals_.Add(spec, accepted_at);
+  }
   return job;
 }
 
@@ -240,6 +241,7 @@
   Machine* m = a->machine;
   TaskBackToPending(a, wire::EndCause::kNone, now);
   unsent_services_.erase(KeyOf(*a));
+  if (job->gang && job->pending > 0) dirty_ = true;  // it may be replaced on this machine
   job->attempts.erase(a);
   m->attempts.erase(KeyOf(*a));
   if (m->attempts.empty()) m->idle_since = now;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -24,6 +24,7 @@
 #include "config/operator_settings.h"
 #include "config/settings.h"
 #include "core/gang.h"
+#include "core/gang_arrivals.h"
 #include "core/token_bucket.h"
 #include "wire/wire.h"
 
@@ -67,6 +68,11 @@
   }
 };
 
+// What each task of the job takes of its machine.
+inline Resources NeedOf(const wire::JobSpec& spec) {
+  return {spec.cpus, spec.gpus, spec.memory_gb};
+}
+
 inline std::string OfferKey(const std::string& type, const std::string& zone, bool spot) {
   return type + "|" + zone + (spot ? "|spot" : "|ordinary");
 }
@@ -458,6 +464,9 @@
   int spare_surplus_ = 0;
   // Room that the last pass kept for gangs that have waited too long, by machine.
   std::map<std::string, Resources> reserved_;
+  // Room that the last pass kept free for gangs to come, by machine.
+  std::map<std::string, Resources> gang_room_;
+  GangArrivals gang_arrivals_;
   bool settled_ = false;
   bool dirty_ = true;
   double next_wake_ = 0;
--- /dev/null
+++ b/src/core/gang_arrivals.cc
@@ -0,0 +1,29 @@
+#include "core/gang_arrivals.h"
+
+#include <algorithm>
+
+namespace zinclead::core {
+
+void GangArrivals::Add(const wire::JobSpec& spec, double now) {
+  History& history = history_[spec.job_class];
+  history.latest = spec;
+  history.arrivals.push_back({now, spec.tasks});
+}
+
+std::map<std::string, GangArrivals::Class> GangArrivals::Recent(double now, double window_s) {
+  std::map<std::string, Class> recent;
+  for (auto& [name, history] : history_) {
+    std::erase_if(history.arrivals,
+                  [&](const Arrival& arrival) { return now - arrival.at > window_s; });
+    if (history.arrivals.empty()) continue;
+    Class& summary = recent[name];
+    summary.latest = history.latest;
+    for (const Arrival& arrival : history.arrivals) {
+      summary.tasks += arrival.tasks;
+      summary.largest = std::max(summary.largest, arrival.tasks);
+    }
+  }
+  return recent;
+}
+
+}  // namespace zinclead::core
--- a/src/core/gangs.cc
+++ b/src/core/gangs.cc
@@ -63,6 +63,7 @@
     gang.On(GangEvent::kSeenRunning);
   } else {
     ++a->waiting_reports;
+    if (a->job->pending > 0 && a->waiting_reports == kReportsToReplace) dirty_ = true;
   }
 }
 
--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -305,7 +305,7 @@
     // One that seems not to hear us is idle because it is given nothing: it is judged above.
     if (m->stage == MachineStage::kUp && !m->deleting && m->acknowledged && Hears(*m) &&
         m->attempts.empty() && now - m->idle_since >= tuning_.idle_s && !NeededAsSpareRoom(*m) &&
-        now - m->rented_at >= wire::kMinChargeS - settings_.report_s) {
+        !gang_room_.contains(id) && now - m->rented_at >= wire::kMinChargeS - settings_.report_s) {
       spare_surplus_ -= m->spare_fit;
       m->spare_fit = 0;
       m->retiring = true;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -54,9 +54,21 @@
   void Run() {
     order_ = Order();
     c_.reserved_.clear();
+    c_.gang_room_.clear();
     FindOpen();
-    for (next_ = 0; next_ < order_.size();) PlaceJob(order_[next_++]);
+    FindGangsToCome();
+    bool kept = false;
+    for (next_ = 0; next_ < order_.size();) {
+      Job* job = order_[next_++];
+      if (!kept && job->spec.priority > wire::Priority::kHigh) {
+        kept = true;
+        KeepGangRoom();
+      }
+      PlaceJob(job);
+    }
+    if (!kept) KeepGangRoom();
     KeepSpareRoom();
+    RentForGangsToCome();
     GatherServices();
   }
 
@@ -319,6 +331,9 @@
     if (!c_.reserved_.empty()) {
       if (const auto it = c_.reserved_.find(m.id); it != c_.reserved_.end()) free -= it->second;
     }
+    if (!c_.gang_room_.empty() && !placing_gang_) {
+      if (const auto it = c_.gang_room_.find(m.id); it != c_.gang_room_.end()) free -= it->second;
+    }
     return free;
   }
 
@@ -338,7 +353,12 @@
     job->tried = true;
     one_zone_.reset();
     if (job->spec.one_zone && job->zone_counts.empty()) ChooseZone(*job);
-    if (job->gang) return PlaceGang(job);
+    if (job->gang) {
+      placing_gang_ = true;
+      PlaceGang(job);
+      placing_gang_ = false;
+      return;
+    }
     const Search search = SearchOf(*job);
     if (!Known(full_, search)) PlaceWhereFree(job);
     if (job->pending == 0 || !WithinLimit(*job)) return;
@@ -444,12 +464,16 @@
 
   // How soon the job's class should start; without an objective, a report period.
   double StartWithin(const Job& job) const {
-    for (const config::Objective& objective : c_.settings_.objectives) {
-      if (objective.job_class == job.spec.job_class && objective.kind == "wait") {
-        return objective.within_s;
-      }
-    }
-    return c_.settings_.report_s;
+    const config::Objective* objective = WaitObjective(job);
+    return objective == nullptr ? c_.settings_.report_s : objective->within_s;
+  }
+  const config::Objective* WaitObjective(const Job& job) const {
+    const auto& objectives = c_.settings_.objectives;
+    const auto it =
+        std::find_if(objectives.begin(), objectives.end(), [&](const config::Objective& o) {
+          return o.job_class == job.spec.job_class && o.kind == "wait";
+        });
+    return it == objectives.end() ? nullptr : &*it;
   }
 
   template <typename F>
@@ -468,14 +492,19 @@
     if (filled) std::erase_if(open_, [&](const Machine* m) { return !least_.Fits(FreeOf(*m)); });
   }
 
+  double SlowestBoot() const {
+    double boot_s = 0;
+    for (const auto& [name, type] : c_.types_) boot_s = std::max(boot_s, type.boot_s);
+    return boot_s;
+  }
+
   // A production service should start at once, and no machine boots that quickly: some room is kept
   // that is free or holds work that may be stopped.
   void KeepSpareRoom() {
     c_.spare_surplus_ = 0;
     const Job* latest = nullptr;
     uint32_t running = 0;
-    double boot_s = 0;
-    for (const auto& [name, type] : c_.types_) boot_s = std::max(boot_s, type.boot_s);
+    const double boot_s = SlowestBoot();
     double recent = 0;
     for (const auto& [key, job] : c_.active_jobs_) {
       if (job->spec.kind != wire::JobKind::kService || !job->Live() ||
@@ -517,6 +546,58 @@
     if (left > 0) Rent(probe, left, &planned);
   }
 
+  // Gangs that should start sooner than any machine boots, and how many of their tasks will come in
+  // that time. Those whose objectives leave time for a boot need no room kept.
+  void FindGangsToCome() {
+    const double window_s = kSpareWindowBoots * SlowestBoot();
+    for (const auto& [name, recent] : c_.gang_arrivals_.Recent(now_, window_s)) {
+      Job probe;
+      probe.spec = recent.latest;
+      probe.need = NeedOf(recent.latest);
+      double ready_s = std::numeric_limits<double>::max();
+      for (const auto& [type_name, type] : c_.types_) {
+        if (c_.FitsType(probe.spec, type)) ready_s = std::min(ready_s, ReadyTime(probe, type));
+      }
+      ready_s *= kSpareBoots;
+      if (WaitObjective(probe) == nullptr || StartWithin(probe) > ready_s) continue;
+      const double coming = recent.tasks / window_s * ready_s;
+      const auto tasks = std::max(recent.largest, static_cast<uint32_t>(std::ceil(coming)));
+      gangs_to_come_.push_back({std::move(probe), tasks, std::nullopt});
+    }
+  }
+
+  // Arrays would fill each room that gangs leave behind, and the next gang would have to wait for
+  // machines to boot: some room in one zone is left free for it.
+  void KeepGangRoom() {
+    for (GangsToCome& gangs : gangs_to_come_) {
+      placing_gang_ = true;
+      one_zone_.reset();
+      ChooseZone(gangs.probe, gangs.missing);
+      placing_gang_ = false;
+      if (!one_zone_) continue;
+      gangs.zone = one_zone_;
+      for (Machine* m : open_) {
+        if (gangs.missing == 0) break;
+        if (m->zone != *one_zone_ || !MachineSuits(gangs.probe, *m)) continue;
+        const uint32_t fit = FitCount(gangs.probe.need, FreeOf(*m), gangs.missing);
+        for (uint32_t i = 0; i < fit; ++i) c_.gang_room_[m->id] += gangs.probe.need;
+        gangs.missing -= fit;
+      }
+    }
+    one_zone_.reset();
+  }
+
+  void RentForGangsToCome() {
+    for (const GangsToCome& gangs : gangs_to_come_) {
+      if (gangs.missing == 0) continue;
+      std::map<std::string, int> planned;
+      one_zone_ = gangs.zone;
+      const uint32_t left = UseUpcoming(gangs.probe, gangs.missing, &planned);
+      if (left > 0) Rent(gangs.probe, left, &planned);
+    }
+    one_zone_.reset();
+  }
+
   // Machines that arrays and services shared are left with a service or two when load falls, and
   // cost as much as full ones (hljod grown steady from 565 s on: 80 machines for 460 CPUs, later 48
   // for 108).
@@ -625,11 +706,12 @@
   }
 
   // All tasks of the job must be in one zone: the one with most room for it.
-  void ChooseZone(const Job& job) {
+  void ChooseZone(const Job& job) { ChooseZone(job, job.pending); }
+  void ChooseZone(const Job& job, uint32_t tasks) {
     std::map<std::string, uint32_t> room;
     for (const Machine* m : open_) {
       if (!MachineSuits(job, *m)) continue;
-      room[m->zone] += FitCount(job.need, FreeOf(*m), job.pending);
+      room[m->zone] += FitCount(job.need, FreeOf(*m), tasks);
     }
     uint32_t best = 0;
     for (const auto& [zone, count] : room) {
@@ -993,6 +1075,13 @@
   std::set<std::tuple<std::string, std::string, bool>> unseen_;
   bool unseen_known_ = false;
   std::optional<std::string> one_zone_;
+  bool placing_gang_ = false;  // it may use the room that is kept for gangs
+  struct GangsToCome {
+    Job probe;
+    uint32_t missing = 0;  // tasks that no room is kept for
+    std::optional<std::string> zone;
+  };
+  std::vector<GangsToCome> gangs_to_come_;
   std::map<std::string, Resources> claimed_;
   std::vector<Upcoming> upcoming_;
   bool upcoming_known_ = false;
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -107,15 +107,16 @@
     spec.cpus = 3;  // one task a machine
     return spec;
   }
-  // A gang of two tasks, each on its own machine.
+  // A gang of two tasks, each on its own machine, that no report has shown yet.
   void StartTwo() {
     Submit(MakeGang(2));
     Store();
     Ready("i-1", &first_);
-    Ready("i-2", &second_);
+    for (int i = 0; i < 3 && second_.empty(); ++i) Hello("i-2", &second_);
     Hello("i-1", &first_);
     ASSERT_EQ(first_.size(), 1U);
     ASSERT_EQ(second_.size(), 1U);
+    ASSERT_EQ(cluster_->jobs().at("req-1")->gang->state(), State::kWaiting);
   }
   static wire::ReportedTask& Only(Tasks* tasks) { return tasks->begin()->second; }
   static void SetPhase(Tasks* tasks, wire::TaskPhase phase) { Only(tasks).phase = phase; }
@@ -278,5 +279,96 @@
   }
 }
 
+// The attempt has run: its peers would end by themselves, and nothing more comes of it.
+TEST_F(GangCoreTest, TheRestIsStoppedWhenATaskOfARunningGangIsLost) {
+  StartTwo();
+  Hello("i-1", &first_);
+  Hello("i-2", &second_);
+  second_.clear();
+  Hello("i-2", &second_);
+  EXPECT_TRUE(Has(Hello("i-1", &first_), wire::CommandOp::kStop));
+}
+
+// Only a gang that has run can end so, whatever was seen of it.
+TEST_F(GangCoreTest, PeersTellThatTheAttemptHasRun) {
+  StartTwo();
+  SetPhase(&first_, wire::TaskPhase::kWaiting);
+  Hello("i-1", &first_);
+  End(&second_, wire::EndCause::kPeers);
+  Hello("i-2", &second_);
+  EXPECT_TRUE(Has(Hello("i-1", &first_), wire::CommandOp::kStop));
+}
+
+// A worker that still knows the lost task would not start it again under the same number.
+TEST_F(GangCoreTest, ALostTaskIsNotReplacedWhereItIsKnown) {
+  StartTwo();
+  SetPhase(&first_, wire::TaskPhase::kWaiting);
+  Hello("i-1", &first_);
+  End(&second_, wire::EndCause::kOther);
+  const std::string lost = second_.begin()->first;
+  const uint64_t attempt = Only(&second_).attempt;
+  Hello("i-2", &second_);  // told to forget it, which no report has shown yet
+  for (int i = 0; i < 4; ++i) Hello("i-1", &first_);
+  EXPECT_EQ(cluster_->machines().at("i-2")->attempts.size(), 1U);
+  EXPECT_EQ(cluster_->machines().at("i-2")->attempts.begin()->second->phase, AttemptPhase::kEnded);
+  for (int i = 0; i < 6 && second_.empty(); ++i) Hello("i-2", &second_);  // now they have
+  ASSERT_TRUE(second_.contains(lost));
+  EXPECT_EQ(second_.at(lost).attempt, attempt);
+}
+
+// Gangs that should start sooner than a machine boots find room that arrays have left free; those
+// whose objective leaves time for a boot do not.
+class RoomForGangsTest : public GangCoreTest {
+ protected:
+  // How many of eight tasks of an array start on two empty machines after a gang has come and gone.
+  size_t ArrayTasksStarted(double gangs_within_s) {
+    settings_.objectives = {{"wait", "mix", gangs_within_s, 0.9}};
+    Restart();
+    wire::JobSpec gang = MakeGang(2);
+    gang.job_class = "mix";
+    gang.cpus = 1;
+    Submit(gang);
+    Store();
+    Ready("i-1", &first_);
+    Ready("i-2", &second_);
+    for (Tasks* tasks : {&first_, &second_}) {
+      for (auto& [name, task] : *tasks) {
+        task.phase = wire::TaskPhase::kEnded;
+        task.cause = wire::EndCause::kDone;
+      }
+    }
+    for (int i = 0; i < 2; ++i) {
+      Hello("i-1", &first_);
+      Hello("i-2", &second_);
+    }
+    EXPECT_EQ(cluster_->View("req-1")->phase, wire::JobPhase::kDone);
+    wire::JobSpec array = testing::MakeJob("req-2", 8);
+    Submit(array);
+    Store();
+    for (int i = 0; i < 3; ++i) {
+      (void)cluster_->Schedule(now_);
+      Hello("i-1", &first_);
+      Hello("i-2", &second_);
+    }
+    return first_.size() + second_.size();
+  }
+};
+
+TEST_F(RoomForGangsTest, IsKeptWhereABootWouldBeTooLate) {
+  EXPECT_EQ(ArrayTasksStarted(3), 6U);
+  wire::JobSpec next = MakeGang(2);
+  next.id = "req-3";
+  next.cpus = 1;
+  next.job_class = "mix";
+  Submit(next);
+  Store();
+  (void)cluster_->Schedule(now_);
+  Hello("i-1", &first_);
+  Hello("i-2", &second_);
+  EXPECT_EQ(first_.size() + second_.size(), 8U);
+}
+
+TEST_F(RoomForGangsTest, IsNotKeptWhereABootIsSoonEnough) { EXPECT_EQ(ArrayTasksStarted(60), 8U); }
+
 }  // namespace
 }  // namespace zinclead::core
