--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -209,8 +209,9 @@
   if (job->cancel_wanted) {
     rendered.final_state = FinalState::kCancelled;
     json["final"] = "cancelled";
-    if (json.dump().size() > settings_.ValueBytes())
+    if (json.dump().size() > settings_.ValueBytes()) {
       json["spec"] = wire::ToJson(Shortened(job->spec));
+    }
     return json;
   }
   rendered.chunk = job->done_chunk;
--- a/tests/compatibility_test.cc
+++ b/tests/compatibility_test.cc
@@ -115,8 +115,9 @@
   EXPECT_EQ(wire::ToJson(*notice), fixture["notice"]);
   std::vector<wire::Command> commands;
   for (const wire::Json& order : fixture["commands"]["orders"]) {
-    commands.push_back({wire::CommandOp::kStart, *wire::ParseTaskName(std::string(order["shard"])),
-                        order["strike"], 0});
+    commands.push_back({wire::CommandOp::kStart,
+                        *wire::ParseTaskName(order["shard"].get<std::string>()), order["strike"],
+                        0});
   }
   EXPECT_EQ(wire::Json::parse(wire::CommandsBody(3, commands)), fixture["commands"]);
 }
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -477,8 +477,10 @@
   settings_.objectives = {{"wait", "batch", settings_.lease_s, 0.9}};  // a start may take that long
   Restart();
   std::map<std::string, std::map<std::string, wire::ReportedTask>> tasks;
-  for (int i = 101; i <= 117; ++i)
-    Ready("i-" + std::to_string(i), &tasks["i-" + std::to_string(i)]);
+  for (int i = 101; i <= 117; ++i) {
+    const std::string id = "i-" + std::to_string(i);
+    Ready(id, &tasks[id]);
+  }
   const auto service = [&](const std::string& id, uint32_t count) {
     wire::JobSpec spec = testing::MakeJob(id, count);
     spec.kind = wire::JobKind::kService;
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -12,8 +12,6 @@
 #include "fixtures.h"
 #include "stand_ins.h"
 
-extern char** environ;
-
 namespace zinclead::testing {
 namespace {
 
--- a/tests/elector_test.cc
+++ b/tests/elector_test.cc
@@ -154,9 +154,10 @@
    private:
     // Executes with some delay, maybe late, twice or never, and answers the process if it still
     // waits.
-    void Send(std::function<state::Outcome()> execute, std::function<void(state::Outcome)> answer) {
+    void Send(const std::function<state::Outcome()>& execute,
+              const std::function<void(state::Outcome)>& answer) {
       const auto finished = std::make_shared<bool>(false);
-      const auto reply = [this, alive = alive_, finished, answer](state::Outcome outcome) {
+      const auto reply = [alive = alive_, finished, answer](state::Outcome outcome) {
         if (!*alive || std::exchange(*finished, true)) return;
         answer(outcome);
       };
