--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -325,18 +325,21 @@
            now_ - failed->second >= kFaultRetries * c_.tuning_.retry_s;
   }
 
-  Resources FreeOf(const Machine& m) const {
+  // `for_gangs`: the room that is kept for gangs included.
+  Resources FreeOf(const Machine& m, bool for_gangs) const {
     Resources free = m.capacity;
     free -= m.used;
     if (!c_.reserved_.empty()) {
       if (const auto it = c_.reserved_.find(m.id); it != c_.reserved_.end()) free -= it->second;
     }
-    if (!c_.gang_room_.empty() && !placing_gang_) {
+    if (!c_.gang_room_.empty() && !for_gangs) {
       if (const auto it = c_.gang_room_.find(m.id); it != c_.gang_room_.end()) free -= it->second;
     }
     return free;
   }
 
+  Resources FreeOf(const Machine& m) const { return FreeOf(m, placing_gang_); }
+
   static uint32_t FitCount(const Resources& need, const Resources& room, uint32_t most) {
     if (!need.Fits(room)) return 0;
     constexpr double kSlack = 1e-6;
@@ -533,7 +536,8 @@
     for (auto& [id, m] : c_.machines_) {
       m->spare_fit = 0;
       if (!MachineAllowed(probe, *m)) continue;
-      Resources free = FreeOf(*m);
+      // What is kept for gangs counts as well: production goes before them.
+      Resources free = FreeOf(*m, /*for_gangs=*/true);
       free += LesserArrays(*m, probe.spec.priority);
       m->spare_fit = static_cast<int>(FitCount(probe.need, free, 1000));
       room += m->spare_fit;
