--- a/tests/committer_test.cc
+++ b/tests/committer_test.cc
@@ -155,6 +155,30 @@
   EXPECT_FALSE(Durable("req-7"));
 }
 
+// Changes beyond a rate that was lowered without notice are refused: they are repeated with a pause
+// until they are served, and none is lost.
+TEST_F(CommitterTest, LoweredRateLosesNothing) {
+  constexpr int kRecords = 12;
+  int asked = 0;
+  int refused = 0;
+  standin_.fate = [&](const Json&) {
+    if (++asked % 4 == 0) return StandInStore::Fate::kNormal;
+    ++refused;
+    return StandInStore::Fate::kTooMany;
+  };
+  const double began = net::SteadyNow();
+  for (int i = 0; i < kRecords; ++i) Submit("req-" + std::to_string(i));
+  ASSERT_TRUE(Until([&] {
+    for (int i = 0; i < kRecords; ++i) {
+      if (!Durable("req-" + std::to_string(i))) return false;
+    }
+    return true;
+  }));
+  EXPECT_GT(refused, 0);
+  const double retry_s = settings_.report_s / 10;
+  EXPECT_LE(refused, (net::SteadyNow() - began) / retry_s + 1) << "repeated without a pause";
+}
+
 TEST_F(CommitterTest, AnotherLeaderFencesItOff) {
   standin_.Execute(
       {{"when", Json::array()}, {"writes", {{{"put", election::kLeaderKey}, {"value", "other"}}}}});
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -62,7 +62,7 @@
   std::map<std::string, Entry>& entries() { return entries_; }
   // Called for each transaction; the result says what happens to it.
   // kLost: neither executed nor answered; the test may execute it later.
-  enum class Fate { kNormal, kExecutedUnanswered, kLost, kMalformed, kRefused };
+  enum class Fate { kNormal, kExecutedUnanswered, kLost, kMalformed, kRefused, kTooMany };
   std::function<Fate(const Json&)> fate;
   uint64_t transactions = 0;
 
@@ -101,6 +101,7 @@
       const Json txn = Json::parse(r.body);
       const Fate what = fate ? fate(txn) : Fate::kNormal;
       if (what == Fate::kRefused) return send(503, {{"error", "trouble"}});
+      if (what == Fate::kTooMany) return send(429, {{"error", "too many requests"}});
       if (what == Fate::kMalformed) return send(400, {{"error", "too large"}});
       if (what == Fate::kLost) {
         unanswered_.push_back(p);
