--- a/tests/cluster_model.cc
+++ b/tests/cluster_model.cc
@@ -180,7 +180,7 @@
   if (!calm_ && Rate(0.15)) Submit();
   if (!calm_ && Rate(0.03) && !told_.empty()) {
     auto it = told_.begin();
-    std::advance(it, static_cast<long>(random_() % told_.size()));
+    std::advance(it, static_cast<std::ptrdiff_t>(random_() % told_.size()));
     if (it->second.accepted) AskToCancel(it->first);
   }
   // A cancellation meets the end of the last task.
@@ -279,10 +279,11 @@
   if (kind == 1) spec.kind = wire::JobKind::kGang;
   if (Chance(0.3)) spec.priority = wire::Priority::kProduction;
   if (Chance(0.3)) spec.team = "capped";
-  if (Chance(0.2))
+  if (Chance(0.2)) {
     spec.one_zone = true;
-  else if (Chance(0.3))
+  } else if (Chance(0.3)) {
     spec.spread = true;
+  }
   spec.spot = Chance(0.5);
   const bool gang = spec.kind == wire::JobKind::kGang;
   if (gang) {
@@ -314,8 +315,9 @@
     if (!current) continue;
     ReadAnswers(node);
     const auto old = nodes_.size() - 1;
-    if (!peers_apart_ && std::none_of(nodes_.begin(), nodes_.begin() + static_cast<long>(old),
-                                      [](const Node& other) { return other.alive; })) {
+    if (!peers_apart_ &&
+        std::none_of(nodes_.begin(), nodes_.begin() + static_cast<std::ptrdiff_t>(old),
+                     [](const Node& other) { return other.alive; })) {
       if (nodes_.size() > 1 && !node.cluster->settled()) ++coverage.early_ends;
       node.cluster->OnEarlierLeadersEnded(now_);
     }
@@ -326,6 +328,7 @@
   if (!node->cluster->HasDirty() || (!scripted_ && Chance(0.3))) return;
   const auto keys = node->cluster->TakeDirty(4);
   std::vector<std::pair<std::string, std::optional<wire::Json>>> writes;
+  writes.reserve(keys.size());
   for (const auto& key : keys) writes.emplace_back(key, node->cluster->Render(key));
   if (!current || now_ < store_out_until_ || (!scripted_ && Chance(0.1))) {
     for (const auto& key : keys) node->cluster->OnNotStored(key);
