--- a/tests/fault_scenarios_test.cc
+++ b/tests/fault_scenarios_test.cc
@@ -3,7 +3,7 @@
 // meeting about, and says so if it did not. Each is played with several seeds: what differs is how
 // long tasks run and when reports come.
 
-#include "cluster_model.h"
+#include "scenario.h"
 
 namespace zinclead::core::model {
 namespace {
@@ -292,24 +292,9 @@
   ASSERT_FALSE(w->ToldDone("req-1"));
 }
 
-struct Scenario {
-  const char* name;
-  std::function<void(World*)> play;
-};
-void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
-
 class FaultScenarios : public ::testing::TestWithParam<Scenario> {};
 
-TEST_P(FaultScenarios, KeepsTheRules) {
-  for (uint64_t seed = 1; seed <= 12; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    World world(seed, World::Kind::kScripted);
-    GetParam().play(&world);
-    if (HasFailure()) return;
-    world.Recover();
-    if (HasFailure()) return;
-  }
-}
+TEST_P(FaultScenarios, KeepsTheRules) { PlayWithAllSeeds(GetParam()); }
 
 INSTANTIATE_TEST_SUITE_P(
     Meetings, FaultScenarios,
@@ -337,7 +322,7 @@
         Scenario{"Gap", [](World* w) { CancelledBehindALapsedLeader(w, 0); }},
         Scenario{"TwoChangesBehindALapsedLeader", TwoChangesBehindALapsedLeader},
         Scenario{"TasksEndFarApart", TasksEndFarApart}),
-    [](const ::testing::TestParamInfo<Scenario>& param) { return param.param.name; });
+    ScenarioName);
 
 }  // namespace
 }  // namespace zinclead::core::model
--- a/tests/gang_scenarios_test.cc
+++ b/tests/gang_scenarios_test.cc
@@ -1,7 +1,7 @@
 // Gangs that meet troubles, as short histories in the words of cluster_model.h. The model judges
 // all rules at every step.
 
-#include "cluster_model.h"
+#include "scenario.h"
 
 namespace zinclead::core::model {
 namespace {
@@ -170,24 +170,9 @@
   w->RunFor(20);
 }
 
-struct Scenario {
-  const char* name;
-  std::function<void(World*)> play;
-};
-void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
-
 class GangScenarios : public ::testing::TestWithParam<Scenario> {};
 
-TEST_P(GangScenarios, KeepsTheRules) {
-  for (uint64_t seed = 1; seed <= 12; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    World world(seed, World::Kind::kScripted);
-    GetParam().play(&world);
-    if (HasFailure()) return;
-    world.Recover();
-    if (HasFailure()) return;
-  }
-}
+TEST_P(GangScenarios, KeepsTheRules) { PlayWithAllSeeds(GetParam()); }
 
 INSTANTIATE_TEST_SUITE_P(
     Meetings, GangScenarios,
@@ -205,7 +190,7 @@
         Scenario{"TwoGangsAndRoomForOne", TwoGangsAndRoomForOne},
         Scenario{"TeamAtItsLimit", TeamAtItsLimit},
         Scenario{"OneZoneAcrossALeaderChange", OneZoneAcrossALeaderChange}),
-    [](const ::testing::TestParamInfo<Scenario>& param) { return param.param.name; });
+    ScenarioName);
 
 }  // namespace
 }  // namespace zinclead::core::model
--- /dev/null
+++ b/tests/scenario.h
@@ -0,0 +1,40 @@
+// A meeting of troubles as a short history in the words of cluster_model.h, played with several
+// seeds: what differs is how long tasks run and when reports come.
+#ifndef ZINCLEAD_TESTS_SCENARIO_H_
+#define ZINCLEAD_TESTS_SCENARIO_H_
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <ostream>
+#include <string>
+
+#include "cluster_model.h"
+
+namespace zinclead::core::model {
+
+struct Scenario {
+  const char* name;
+  std::function<void(World*)> play;
+};
+inline void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+
+inline std::string ScenarioName(const ::testing::TestParamInfo<Scenario>& param) {
+  return param.param.name;
+}
+
+// Plays it, ends all troubles and expects everything to be served, up to the first failure.
+inline void PlayWithAllSeeds(const Scenario& scenario) {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    World world(seed, World::Kind::kScripted);
+    scenario.play(&world);
+    if (::testing::Test::HasFailure()) return;
+    world.Recover();
+    if (::testing::Test::HasFailure()) return;
+  }
+}
+
+}  // namespace zinclead::core::model
+
+#endif  // ZINCLEAD_TESTS_SCENARIO_H_
