--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -16,7 +16,8 @@
 }  // namespace
 
 Cluster::Cluster(const config::Settings& settings, const config::OperatorSettings& tuning,
-                 uint64_t term, double now, double wall_now, uint64_t random_seed)
+                 uint64_t term, double now, double wall_now, uint64_t random_seed,
+                 ProcessorClock processor_clock)
     : settings_(settings),
       tuning_(tuning),
       term_(term),
@@ -25,7 +26,8 @@
       wall_offset_(wall_now - now),
       random_(random_seed),
       rent_tokens_(settings.cloud_rps * tuning.rent_share,
-                   std::max(1.0, settings.cloud_rps * tuning.rent_share)) {}
+                   std::max(1.0, settings.cloud_rps * tuning.rent_share)),
+      pass_pacer_(settings, tuning, std::move(processor_clock)) {}
 
 Cluster::~Cluster() = default;
 
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -25,6 +25,7 @@
 #include "config/settings.h"
 #include "core/gang.h"
 #include "core/gang_arrivals.h"
+#include "core/pass_pacer.h"
 #include "core/token_bucket.h"
 #include "wire/wire.h"
 
@@ -234,7 +235,7 @@
 class Cluster {
  public:
   Cluster(const config::Settings& settings, const config::OperatorSettings& tuning, uint64_t term,
-          double now, double wall_now, uint64_t random_seed);
+          double now, double wall_now, uint64_t random_seed, ProcessorClock processor_clock = {});
   ~Cluster();
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
@@ -281,7 +282,7 @@
   // `lapsed`: as for OnReport.
   Effects Schedule(double now, bool lapsed = false);
   // A whole pass costs time for each job and machine: when much changes, one serves many changes.
-  double NextWake() const { return dirty_ ? std::min(next_wake_, pass_at_) : next_wake_; }
+  double NextWake() const { return dirty_ ? std::min(next_wake_, pass_pacer_.next_at()) : next_wake_; }
 
   // ---- records ----
   bool HasDirty() const;
@@ -471,7 +472,7 @@
   bool dirty_ = true;
   double next_wake_ = 0;
   double retry_at_ = 0;  // when pending jobs are tried again even if nothing has changed
-  double pass_at_ = 0;   // no whole pass before
+  PassPacer pass_pacer_;
   double move_at_ = 0;   // no service is moved before
 };
 
--- /dev/null
+++ b/src/core/pass_pacer.h
@@ -0,0 +1,36 @@
+// Spaces whole scheduling passes so that they take a bounded share of the processor.
+#ifndef ZINCLEAD_CORE_PASS_PACER_H_
+#define ZINCLEAD_CORE_PASS_PACER_H_
+
+#include <functional>
+
+#include "config/operator_settings.h"
+#include "config/settings.h"
+
+namespace zinclead::core {
+
+// Seconds of processor time that the calling thread has used.
+using ProcessorClock = std::function<double()>;
+
+class PassPacer {
+ public:
+  // Without a clock passes count as free, and only the least interval is kept.
+  PassPacer(const config::Settings& settings, const config::OperatorSettings& tuning,
+            ProcessorClock clock);
+
+  // Runs `pass` and sets when the next one may run.
+  void Run(double now, const std::function<void()>& pass);
+  // No whole pass should run before.
+  double next_at() const { return next_at_; }
+
+ private:
+  const double core_share_;
+  const double least_interval_s_;
+  const double most_interval_s_;
+  const ProcessorClock clock_;
+  double next_at_ = 0;
+};
+
+}  // namespace zinclead::core
+
+#endif  // ZINCLEAD_CORE_PASS_PACER_H_
--- a/src/core/report.cc
+++ b/src/core/report.cc
@@ -151,7 +151,7 @@
 
   // Freed room is filled in this very answer rather than in the next one.
   if (!lapsed && dirty_ && MachineUsable(*m)) {
-    if (now >= pass_at_) {
+    if (now >= pass_pacer_.next_at()) {
       PlaceAndRent(now);
     } else {
       FillMachine(m, now);
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -33,9 +33,6 @@
 // Retry intervals for which a job that failed on a machine is not put there again.
 constexpr double kFaultRetries = 12;
 
-// Of a report period, the least time between two whole passes.
-constexpr double kPassShare = 0.05;
-
 // Of the time that an array's objectives leave it before it must have a machine, the share that it
 // waits for room on spot machines and on those that exist; estimates are often wrong by half.
 // Where a time to finish is named there is none to lose: what is left is rarely known that well.
@@ -1093,10 +1090,9 @@
 
 void Cluster::PlaceAndRent(double now) {
   dirty_ = false;
-  pass_at_ = now + kPassShare * settings_.report_s;
   retry_at_ = now + tuning_.retry_s +
               std::uniform_real_distribution<double>(0, tuning_.retry_jitter_s)(random_);
-  SchedulePass(this, now).Run();
+  pass_pacer_.Run(now, [&] { SchedulePass(this, now).Run(); });
 }
 
 void Cluster::FillMachine(Machine* m, double now) { SchedulePass(this, now).Fill(m); }
@@ -1119,9 +1115,9 @@
   Effects effects;
   CheckMachines(now, lapsed, &effects);
   CheckSettled();
-  if (now >= pass_at_ && (dirty_ || now >= retry_at_)) PlaceAndRent(now);
+  if (now >= pass_pacer_.next_at() && (dirty_ || now >= retry_at_)) PlaceAndRent(now);
   SendRents(now, &effects);
-  next_wake_ = std::min(now + settings_.report_s / 2, std::max(retry_at_, pass_at_));
+  next_wake_ = std::min(now + settings_.report_s / 2, std::max(retry_at_, pass_pacer_.next_at()));
   return effects;
 }
 
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 
 #include <event2/thread.h>
+#include <time.h>
 
 #include <chrono>
 #include <cmath>
@@ -17,6 +18,12 @@
   return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+double ThreadProcessorTime() {
+  timespec used{};
+  if (clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used) != 0) return 0;
+  return static_cast<double>(used.tv_sec) + 1e-9 * static_cast<double>(used.tv_nsec);
+}
+
 timeval ToTimeval(double seconds) {
   if (seconds < 0) seconds = 0;
   timeval tv{};
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -17,6 +17,9 @@
 // Seconds since the epoch, within the platform's clock error.
 double WallNow();
 
+// Seconds of processor time that the calling thread has used.
+double ThreadProcessorTime();
+
 // What is urgent goes before everything else that is ready: of a long row of other work only a few
 // pieces are done before the loop looks again.
 enum class Urgency { kUrgent = 0, kNormal = 1 };
