--- a/tests/pass_pacer_test.cc
+++ b/tests/pass_pacer_test.cc
@@ -19,7 +19,7 @@
     return pacer_.next_at() - kNow;
   }
   const config::Settings settings_ = testing::MakeSettings();
-  const config::OperatorSettings tuning_;
+  const config::OperatorSettings tuning_{};
   double clock_ = 5;
   PassPacer pacer_{settings_, tuning_, [this] { return clock_; }};
 };
