--- /dev/null
+++ b/bench/core_benchmark.cc
@@ -0,0 +1,85 @@
+// What the work of a leader costs, at the sizes of the deployments.
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "simulated_fleet.h"
+#include "wire/wire.h"
+
+namespace zinclead::bench {
+namespace {
+
+// Machines, jobs and tasks of a job; more tasks than the machines hold.
+void Sizes(benchmark::internal::Benchmark* benchmark) {
+  benchmark->ArgNames({"machines", "jobs", "tasks"});
+  benchmark->Args({330, 120, 40});
+  benchmark->Args({1300, 300, 80});
+  benchmark->Args({4000, 1000, 60});
+}
+
+FleetSize SizeOf(const benchmark::State& state) {
+  return {static_cast<int>(state.range(0)), static_cast<int>(state.range(1)),
+          static_cast<int>(state.range(2))};
+}
+
+void ParseReport(benchmark::State& state) {
+  SimulatedFleet fleet({40, 20, 40});
+  fleet.Fill();
+  const std::string body = fleet.NextReport(0);
+  for (auto _ : state) {
+    std::string error;
+    benchmark::DoNotOptimize(wire::ParseReport(body, &error));
+  }
+  state.counters["bytes"] = static_cast<double>(body.size());
+}
+BENCHMARK(ParseReport);
+
+// A report that says nothing new: read, judged and answered.
+void UnchangedReport(benchmark::State& state) {
+  SimulatedFleet fleet(SizeOf(state));
+  fleet.Fill();
+  size_t next = 0;
+  for (auto _ : state) {
+    state.PauseTiming();
+    const std::string body = fleet.NextReport(next);
+    state.ResumeTiming();
+    std::string error;
+    const auto report = wire::ParseReport(body, &error);
+    const auto result = fleet.cluster().OnReport(*report, fleet.now());
+    benchmark::DoNotOptimize(wire::CommandsBody(1, result.commands));
+    next = (next + 1) % fleet.machine_count();
+  }
+}
+BENCHMARK(UnchangedReport)->Apply(Sizes);
+
+// A pass over a backlog that finds no room.
+void OverloadedPass(benchmark::State& state) {
+  SimulatedFleet fleet(SizeOf(state));
+  fleet.Fill();
+  for (auto _ : state) {
+    state.PauseTiming();
+    fleet.Advance(1);
+    for (size_t i = 0; i < fleet.machine_count(); ++i) fleet.Report(i);
+    fleet.Advance(fleet.tuning().retry_s + fleet.tuning().retry_jitter_s);
+    state.ResumeTiming();
+    benchmark::DoNotOptimize(fleet.cluster().Schedule(fleet.now()));
+  }
+  state.counters["machines"] = static_cast<double>(fleet.machine_count());
+  state.counters["pending"] = static_cast<double>(fleet.cluster().PendingTasks());
+}
+BENCHMARK(OverloadedPass)->Apply(Sizes)->Unit(benchmark::kMicrosecond);
+
+void LoadTerm(benchmark::State& state) {
+  SimulatedFleet fleet(SizeOf(state));
+  fleet.Fill();
+  uint64_t term = 1;
+  for (auto _ : state) benchmark::DoNotOptimize(fleet.LoadTerm(++term));
+  state.counters["records"] = static_cast<double>(fleet.records().size());
+}
+BENCHMARK(LoadTerm)->Apply(Sizes)->Unit(benchmark::kMicrosecond);
+
+}  // namespace
+}  // namespace zinclead::bench
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/simulated_fleet.cc
@@ -0,0 +1,212 @@
+#include "simulated_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinclead::bench {
+namespace {
+
+constexpr uint64_t kTerm = 1;
+constexpr double kWallOffset = 1000;
+constexpr size_t kRecordsAtOnce = 12;
+// Of so many jobs one is a service and one an array of the lowest priority.
+constexpr int kMixPeriod = 10;
+
+config::Settings MakeSettings(const FleetSize& size) {
+  config::Settings settings;
+  settings.node = "node-0";
+  settings.zone = "a";
+  settings.listen = {"127.0.0.1", 1};
+  settings.back = {"127.0.0.1", 2};
+  for (int i = 1; i < size.controllers; ++i) {
+    settings.peers.push_back({"node-" + std::to_string(i), "b", {"127.0.0.1", 3}});
+  }
+  settings.zones = {"a", "b", "c", "d"};
+  settings.teams = {{"open", 0, 0, 0, 0}};
+  settings.objectives = {{"wait", "service", 3, 0.93}, {"finished", "array", 120, 0.94}};
+  settings.report_s = 1.5;
+  settings.lease_s = 10;
+  settings.cancel_s = 30;
+  settings.state_rps = 150;
+  settings.state_write_rps = 50;
+  settings.state_value_kb = 32;
+  settings.state_txn_ops = kRecordsAtOnce;
+  settings.cloud_rps = 1000;
+  settings.cloud_list_lag_s = 5;
+  settings.core_share = 0.024;
+  settings.mem_mb = 37;
+  settings.sockets = 1000;
+  return settings;
+}
+
+wire::MachineType MakeType(const std::string& name, double cpus) {
+  wire::MachineType type;
+  type.name = name;
+  type.cpus = cpus;
+  type.memory_gb = 4 * cpus;
+  type.fetch_gb_per_s = 1;
+  type.price = 0.04 * cpus;
+  type.spot_price = 0.015 * cpus;
+  type.boot_s = 20;
+  type.zones = {"a", "b", "c", "d"};
+  return type;
+}
+
+wire::JobSpec MakeService(wire::JobSpec spec) {
+  spec.kind = wire::JobKind::kService;
+  spec.priority = wire::Priority::kProduction;
+  spec.job_class = "service";
+  spec.cpus = 2;
+  spec.memory_gb = 4;
+  spec.spread = true;
+  spec.tasks = std::max(1U, spec.tasks / 8);
+  return spec;
+}
+
+wire::JobSpec MakeSweep(wire::JobSpec spec) {
+  spec.priority = wire::Priority::kLow;
+  spec.job_class = "sweep";
+  spec.cpus = 4;
+  spec.memory_gb = 11;
+  spec.spot = true;
+  spec.checkpoint_s = 15;
+  spec.save_s = 6;
+  spec.estimate_s = 70;
+  return spec;
+}
+
+// Arrays differ in what their tasks take, so that no search for room stands for another.
+wire::JobSpec MakeArray(wire::JobSpec spec, int number) {
+  spec.priority = wire::Priority::kNormal;
+  spec.job_class = "array";
+  spec.cpus = 0.6 + 0.01 * (number * 37 % 80);
+  spec.memory_gb = 3;
+  spec.spot = true;
+  spec.estimate_s = 35;
+  return spec;
+}
+
+wire::JobSpec MakeJob(int number, int tasks) {
+  wire::JobSpec spec;
+  spec.id = "req-" + std::to_string(100000 + number);
+  spec.team = "open";
+  spec.tasks = static_cast<uint32_t>(tasks);
+  spec.image = "image-" + std::to_string(number % 14);
+  spec.image_gb = 1;
+  if (number % kMixPeriod == 0) return MakeService(std::move(spec));
+  if (number % kMixPeriod == 1) return MakeSweep(std::move(spec));
+  return MakeArray(std::move(spec), number);
+}
+
+}  // namespace
+
+SimulatedFleet::SimulatedFleet(const FleetSize& size)
+    : size_(size),
+      settings_(MakeSettings(size)),
+      cluster_(std::make_unique<core::Cluster>(settings_, tuning_, kTerm, now_, kWallOffset + now_,
+                                               /*random_seed=*/1)) {
+  cluster_->FinishLoading(now_);
+  cluster_->OnMachineTypes({MakeType("small", 4), MakeType("large", 16)});
+  Store();
+}
+
+void SimulatedFleet::Fill() {
+  Submit();
+  for (int round = 0; round < 20; ++round) {
+    Advance(settings_.report_s);
+    Rent(cluster_->Schedule(now_));
+    Store();
+    for (size_t i = 0; i < workers_.size(); ++i) Report(i);
+    Store();
+  }
+}
+
+void SimulatedFleet::Submit() {
+  for (int i = 0; i < size_.jobs; ++i) {
+    std::string error;
+    cluster_->Submit(MakeJob(i, size_.tasks_per_job), now_, kWallOffset + now_, &error);
+  }
+  Store();
+}
+
+void SimulatedFleet::Rent(const core::Effects& effects) {
+  for (const wire::RentRequest& request : effects.rent) {
+    std::vector<std::string> names;
+    while (static_cast<int>(names.size()) < request.count &&
+           static_cast<int>(workers_.size()) < size_.machines) {
+      Worker worker;
+      worker.report.machine = "i-" + std::to_string(100000 + workers_.size());
+      worker.report.address = "10.1.0.1:9000";
+      worker.report.type = request.type;
+      worker.report.zone = request.zone;
+      worker.report.spot = request.spot;
+      worker.report.session = 1;
+      names.push_back(worker.report.machine);
+      workers_.push_back(std::move(worker));
+    }
+    const auto outcome = names.empty() ? core::Cluster::RentOutcome::kNoCapacity
+                                       : core::Cluster::RentOutcome::kRented;
+    cluster_->OnRented(request.name, outcome, names, now_);
+  }
+}
+
+void SimulatedFleet::Store() {
+  while (cluster_->HasDirty()) {
+    for (const std::string& key : cluster_->TakeDirty(kRecordsAtOnce)) {
+      std::optional<wire::Json> value = cluster_->Render(key);
+      if (value) {
+        records_[key] = std::move(*value);
+      } else {
+        records_.erase(key);
+      }
+      cluster_->OnStored(key, now_);
+    }
+  }
+}
+
+std::string SimulatedFleet::NextReport(size_t machine) {
+  Worker& worker = workers_[machine];
+  ++worker.report.seq;
+  worker.report.tasks.clear();
+  for (const auto& [name, task] : worker.tasks) worker.report.tasks.push_back(task);
+  return wire::ToJson(worker.report).dump();
+}
+
+std::string SimulatedFleet::Report(size_t machine) {
+  const std::string body = NextReport(machine);
+  std::string error;
+  const auto report = wire::ParseReport(body, &error);
+  const auto result = cluster_->OnReport(*report, now_);
+  workers_[machine].report.token = kTerm;
+  Execute(&workers_[machine], result.commands);
+  return wire::CommandsBody(kTerm, result.commands);
+}
+
+void SimulatedFleet::Execute(Worker* worker, const std::vector<wire::Command>& commands) {
+  for (const wire::Command& command : commands) {
+    const std::string name = wire::TaskName(command.task.job, command.task.index);
+    if (command.op == wire::CommandOp::kStart) {
+      worker->tasks[name] = {command.task, command.attempt, wire::TaskPhase::kRunning,
+                             wire::EndCause::kNone, false};
+    } else {
+      worker->tasks.erase(name);
+    }
+  }
+}
+
+void SimulatedFleet::Pass() {
+  // The least time between two passes has gone by, and the retry interval too.
+  Advance(tuning_.retry_s + tuning_.retry_jitter_s);
+  for (size_t i = 0; i < workers_.size(); ++i) Report(i);
+  cluster_->Schedule(now_);
+}
+
+std::unique_ptr<core::Cluster> SimulatedFleet::LoadTerm(uint64_t term) const {
+  auto cluster = std::make_unique<core::Cluster>(settings_, tuning_, term, now_, kWallOffset + now_,
+                                                 /*random_seed=*/1);
+  for (const auto& [key, value] : records_) cluster->LoadRecord(key, value);
+  cluster->FinishLoading(now_);
+  return cluster;
+}
+
+}  // namespace zinclead::bench
