--- a/bench/process_load.cc
+++ b/bench/process_load.cc
@@ -29,7 +29,7 @@
 }
 
 std::string WriteSettings(uint16_t listen, uint16_t back, uint16_t cloud, uint16_t state) {
-  const std::string path = "/tmp/zinclead-load-" + std::to_string(getpid()) + ".toml";
+  std::string path = "/tmp/zinclead-load-" + std::to_string(getpid()) + ".toml";
   std::ofstream file(path);
   file << "node = \"n0\"\nzone = \"a\"\nlisten = \"127.0.0.1:" << listen
        << "\"\nback = \"127.0.0.1:" << back << "\"\n[endpoints]\ncloud = \"127.0.0.1:" << cloud
