Reread: one look-up of wire words, one check of required fields, benchmarks use the tests' fixtures

Reader::Enum repeated FromLabel, the report reader listed its required fields three times, the benchmarks wrote the tests' settings, machine type and job again and had an unused pass and accessor. Lint exceptions that silenced nothing are gone.

--- a/bench/process_load.cc
+++ b/bench/process_load.cc
@@ -3,7 +3,6 @@
 
 #include <signal.h>
 #include <spawn.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
--- a/bench/simulated_fleet.cc
+++ b/bench/simulated_fleet.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "fixtures.h"
+
 namespace zinclead::bench {
 namespace {
 
@@ -13,11 +15,7 @@
 constexpr int kMixPeriod = 10;
 
 config::Settings MakeSettings(const FleetSize& size) {
-  config::Settings settings;
-  settings.node = "node-0";
-  settings.zone = "a";
-  settings.listen = {"127.0.0.1", 1};
-  settings.back = {"127.0.0.1", 2};
+  config::Settings settings = testing::MakeSettings();
   for (int i = 1; i < size.controllers; ++i) {
     settings.peers.push_back({"node-" + std::to_string(i), "b", {"127.0.0.1", 3}});
   }
@@ -25,27 +23,15 @@
   settings.teams = {{"open", 0, 0, 0, 0}};
   settings.objectives = {{"wait", "service", 3, 0.93}, {"finished", "array", 120, 0.94}};
   settings.report_s = 1.5;
-  settings.lease_s = 10;
   settings.cancel_s = 30;
-  settings.state_rps = 150;
-  settings.state_write_rps = 50;
   settings.state_value_kb = 32;
   settings.state_txn_ops = kRecordsAtOnce;
   settings.cloud_rps = 1000;
-  settings.cloud_list_lag_s = 5;
-  settings.core_share = 0.024;
-  settings.mem_mb = 37;
-  settings.sockets = 1000;
   return settings;
 }
 
 wire::MachineType MakeType(const std::string& name, double cpus) {
-  wire::MachineType type;
-  type.name = name;
-  type.cpus = cpus;
-  type.memory_gb = 4 * cpus;
-  type.fetch_gb_per_s = 1;
-  type.price = 0.04 * cpus;
+  wire::MachineType type = testing::MakeType(name, cpus, 0.04 * cpus);
   type.spot_price = 0.015 * cpus;
   type.boot_s = 20;
   type.zones = {"a", "b", "c", "d"};
@@ -59,6 +45,7 @@
   spec.cpus = 2;
   spec.memory_gb = 4;
   spec.spread = true;
+  spec.estimate_s = 0;
   spec.tasks = std::max(1U, spec.tasks / 8);
   return spec;
 }
@@ -87,12 +74,9 @@
 }
 
 wire::JobSpec MakeJob(int number, int tasks) {
-  wire::JobSpec spec;
-  spec.id = "req-" + std::to_string(100000 + number);
-  spec.team = "open";
-  spec.tasks = static_cast<uint32_t>(tasks);
+  wire::JobSpec spec =
+      testing::MakeJob("req-" + std::to_string(100000 + number), static_cast<uint32_t>(tasks));
   spec.image = "image-" + std::to_string(number % 14);
-  spec.image_gb = 1;
   if (number % kMixPeriod == 0) return MakeService(std::move(spec));
   if (number % kMixPeriod == 1) return MakeSweep(std::move(spec));
   return MakeArray(std::move(spec), number);
@@ -194,13 +178,6 @@
   }
 }
 
-void SimulatedFleet::Pass() {
-  // The least time between two passes has gone by, and the retry interval too.
-  Advance(tuning_.retry_s + tuning_.retry_jitter_s);
-  for (size_t i = 0; i < workers_.size(); ++i) Report(i);
-  cluster_->Schedule(now_);
-}
-
 std::unique_ptr<core::Cluster> SimulatedFleet::LoadTerm(uint64_t term) const {
   auto cluster = std::make_unique<core::Cluster>(settings_, tuning_, term, now_, kWallOffset + now_,
                                                  /*random_seed=*/1);
--- a/bench/simulated_fleet.h
+++ b/bench/simulated_fleet.h
@@ -36,14 +36,11 @@
   std::string NextReport(size_t machine);
   // Reports and executes the commands of the answer, whose body it returns.
   std::string Report(size_t machine);
-  // A pass over all pending jobs, as after a change.
-  void Pass();
   // A new leader with the records that are stored.
   std::unique_ptr<core::Cluster> LoadTerm(uint64_t term) const;
 
   void Advance(double seconds) { now_ += seconds; }
   core::Cluster& cluster() { return *cluster_; }
-  const config::Settings& settings() const { return settings_; }
   const config::OperatorSettings& tuning() const { return tuning_; }
   const std::map<std::string, wire::Json>& records() const { return records_; }
   size_t machine_count() const { return workers_.size(); }
--- a/src/wire/report_reader.cc
+++ b/src/wire/report_reader.cc
@@ -221,9 +221,9 @@
     task_name_.clear();
     phase_.clear();
     cause_.clear();
-    seen_.reset(static_cast<size_t>(Field::kTaskName));
-    seen_.reset(static_cast<size_t>(Field::kAttempt));
-    seen_.reset(static_cast<size_t>(Field::kPhase));
+    for (const FieldName& known : Names()) {
+      if (known.place == Place::kTask) seen_.reset(static_cast<size_t>(known.field));
+    }
     return true;
   }
   if (!Skipping() && !WrongType()) return false;
@@ -241,10 +241,7 @@
     --skipped_depth_;
     return true;
   }
-  if (place_ == Place::kTask) {
-    place_ = Place::kTasks;
-    return FinishTask();
-  }
+  if (place_ == Place::kTask) return FinishTask();
   place_ = Place::kOutside;
   return true;
 }
@@ -276,12 +273,17 @@
   return FailText("not a JSON object");
 }
 
-bool ReportReader::FinishTask() {
-  for (const Field field : {Field::kTaskName, Field::kAttempt, Field::kPhase}) {
-    if (!seen_.test(static_cast<size_t>(field))) {
-      return FailText(std::string("shards: ") + NameOf(field) + " is missing");
-    }
+bool ReportReader::SawRequired(Place place) {
+  for (const FieldName& known : Names()) {
+    if (known.place != place || !known.required) continue;
+    if (!seen_.test(static_cast<size_t>(known.field))) return Fail(known.field, "is missing");
   }
+  return true;
+}
+
+bool ReportReader::FinishTask() {
+  if (!SawRequired(Place::kTask)) return false;
+  place_ = Place::kTasks;
   auto ref = ParseTaskName(task_name_);
   if (!ref) return FailText("shards: bad task name");
   task_.task = std::move(*ref);
@@ -297,10 +299,7 @@
 
 bool ReportReader::Finish(bool parsed) {
   if (!parsed) return FailText("not a JSON object");
-  for (const FieldName& known : Names()) {
-    if (known.place != Place::kReport || !known.required) continue;
-    if (!seen_.test(static_cast<size_t>(known.field))) return Fail(known.field, "is missing");
-  }
+  if (!SawRequired(Place::kReport)) return false;
   if (report_.machine.empty() || report_.machine.size() > kMaxMachineName) {
     return Fail(Field::kMachine, "is empty or too long");
   }
--- a/src/wire/report_reader.h
+++ b/src/wire/report_reader.h
@@ -24,22 +24,19 @@
   bool Finish(bool parsed);
 
   // The parser's events.
-  bool null();                           // NOLINT(readability-identifier-naming)
-  bool boolean(bool value);              // NOLINT(readability-identifier-naming)
-  bool number_integer(int64_t value);    // NOLINT(readability-identifier-naming)
-  bool number_unsigned(uint64_t value);  // NOLINT(readability-identifier-naming)
-  bool number_float(double value,
-                    const std::string& text);  // NOLINT(readability-identifier-naming)
-  bool string(std::string& value);             // NOLINT(readability-identifier-naming)
-  bool binary(Json::binary_t& value);          // NOLINT(readability-identifier-naming)
-  bool start_object(size_t size);              // NOLINT(readability-identifier-naming)
-  bool key(std::string& name);                 // NOLINT(readability-identifier-naming)
-  bool end_object();                           // NOLINT(readability-identifier-naming)
-  bool start_array(size_t size);               // NOLINT(readability-identifier-naming)
-  bool end_array();                            // NOLINT(readability-identifier-naming)
-  bool parse_error(size_t position,
-                   const std::string& token,  // NOLINT(readability-identifier-naming)
-                   const Json::exception& error);
+  bool null();
+  bool boolean(bool value);
+  bool number_integer(int64_t value);
+  bool number_unsigned(uint64_t value);
+  bool number_float(double value, const std::string& text);
+  bool string(std::string& value);
+  bool binary(Json::binary_t& value);
+  bool start_object(size_t size);
+  bool key(std::string& name);
+  bool end_object();
+  bool start_array(size_t size);
+  bool end_array();
+  bool parse_error(size_t position, const std::string& token, const Json::exception& error);
 
  private:
   // Where the parser is. What lies deeper than a task is skipped.
@@ -75,6 +72,8 @@
   // A value of a type that the field does not take.
   bool WrongType();
   bool FinishTask();
+  // Fails on the first required field of that place that was not seen.
+  bool SawRequired(Place place);
   // Whether a value that comes now belongs to a field, as all but objects in the right places must.
   bool HasField();
   static const std::array<FieldName, 15>& Names();
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -76,14 +76,9 @@
     const Json* v = Find(name, true);
     if (v == nullptr) return;
     if (!v->is_string()) return Fail(name, "must be a string");
-    const auto& text = v->get_ref<const std::string&>();
-    for (const auto& [label, value] : values) {
-      if (text == label) {
-        *out = value;
-        return;
-      }
-    }
-    Fail(name, "has an unknown value");
+    const std::optional<E> value = FromLabel(values, v->get_ref<const std::string&>());
+    if (!value) return Fail(name, "has an unknown value");
+    *out = *value;
   }
   const Json* Array(const char* name) {
     const Json* v = Find(name, true);
