Fair admission: tiers, rows of turns and credits for followers, turned off by default

Need: past the ceiling the first to ask won, whoever they were; a flood reached the leader whole. Change: package admission (pure): a token bucket a tier with what is left over going to the highest, deficit round robin among teams, turns named by Retry-After, credits with the leader's notice, and a gate at followers. The ceiling moved into it; there is one place that decides.

--- /dev/null
+++ b/src/admission/limits.cc
@@ -0,0 +1,133 @@
+#include "admission/limits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace zinclead::admission {
+namespace {
+
+// A finished task takes about this many bytes of a progress record.
+constexpr double kBytesPerTask = 8;
+// Of the users' patience, the part that waiting for a turn may take. The rest covers the rounding
+// of Retry-After to seconds and the calls themselves.
+constexpr double kPatienceShare = 0.9;
+// Of the longest Retry-After, the span in which users without a turn come back.
+constexpr double kNoTurnRetryShare = 1.0 / 6;
+// Leader's leases that a change of leader takes at most, as a rule.
+constexpr double kElectionLeases = 2;
+
+std::string Line(const char* format, double value) {
+  std::array<char, 160> text{};
+  std::snprintf(text.data(), text.size(), format, value);
+  return text.data();
+}
+
+}  // namespace
+
+double Limits::WeightOf(const std::string& team) const {
+  const auto it = team_weight.find(team);
+  return it == team_weight.end() ? 1.0 : it->second;
+}
+
+double Limits::TurnCost(const std::string& team, size_t tier) const {
+  return turn_cost_per_weight[tier] * WeightOf(team);
+}
+
+size_t Limits::MaxTurns() const {
+  double cost = 0;
+  for (const double per_weight : turn_cost_per_weight) cost += per_weight * total_weight;
+  return static_cast<size_t>(cost / kRecordsPerJob) + kTiers * teams;
+}
+
+double Limits::CostOf(const wire::JobSpec& spec) const {
+  return kRecordsPerJob + std::floor(static_cast<double>(spec.tasks) / tasks_per_record);
+}
+
+double Limits::WaitBound(size_t tier, double job_cost) const {
+  if (tier_rate[tier] <= 0) return 0;
+  // Deficit round robin serves a team's backlog at its share of the tier's rate, and at most one
+  // round late: while its deficit is short of the next job, each other team may be served its
+  // quantum and a job more.
+  double least_weight = 1;
+  for (const auto& [team, weight] : team_weight) least_weight = std::min(least_weight, weight);
+  const double turns = turn_cost_per_weight[tier] * total_weight;
+  const double one_job = job_cost * total_weight / least_weight;
+  const double round = total_weight + static_cast<double>(teams) * job_cost;
+  return (std::max(turns, one_job) + round) / tier_rate[tier];
+}
+
+Limits DeriveLimits(const config::Settings& settings, const config::OperatorSettings& tuning) {
+  const config::AdmissionSettings& wanted = tuning.admission;
+  Limits limits;
+  limits.fair = wanted.fair != 0;
+  limits.max_active_jobs = static_cast<size_t>(tuning.max_active_jobs);
+  limits.busy_retry_s = static_cast<int>(tuning.retry_s) + 1;
+  limits.teams = std::max<size_t>(1, settings.teams.size());
+  limits.rate = wanted.rate_share * settings.state_write_rps;
+  limits.tasks_per_record =
+      std::max(1.0, static_cast<double>(settings.ValueBytes()) / 4 / kBytesPerTask);
+  for (const config::Team& team : settings.teams) {
+    const auto it = wanted.team_weights.find(team.name);
+    const double weight = it == wanted.team_weights.end() ? 1.0 : it->second;
+    limits.team_weight[team.name] = weight;
+    limits.total_weight += weight;
+  }
+  limits.total_weight = std::max(limits.total_weight, 1.0);
+
+  const std::array<double, kTiers> weights = {wanted.prod_weight, wanted.high_weight,
+                                              wanted.standard_weight, wanted.best_effort_weight};
+  double sum = 0;
+  for (const double weight : weights) sum += weight;
+  for (size_t tier = 0; tier < kTiers; ++tier) {
+    limits.tier_rate[tier] = limits.rate * weights[tier] / sum;
+    limits.tier_burst[tier] = std::max(kRecordsPerJob, wanted.burst_s * limits.tier_rate[tier]);
+    // What is left of the users' patience after the latency of a round.
+    const double round = limits.total_weight + static_cast<double>(limits.teams) * kRecordsPerJob;
+    const double served = kPatienceShare * kUserPatienceS * limits.tier_rate[tier] - round;
+    limits.turn_cost_per_weight[tier] = std::max(0.0, served) / limits.total_weight;
+  }
+  limits.turn_window_s = wanted.turn_window_s;
+  limits.max_unstored = static_cast<size_t>(std::max<double>(
+      settings.state_txn_ops, std::ceil(limits.rate * wire::kSubmitPatienceS / 2)));
+  limits.no_turn_retry_min_s =
+      std::max(1, static_cast<int>(std::lround(kNoTurnRetryShare * kMaxRetryAfterS)));
+  limits.no_turn_retry_max_s = kMaxRetryAfterS;
+  limits.no_leader_retry_max_s = std::clamp(
+      static_cast<int>(std::ceil(kElectionLeases * tuning.leader_lease_share * settings.cancel_s)),
+      1, kMaxRetryAfterS);
+  limits.follower_trickle =
+      std::max(1.0, limits.rate / static_cast<double>(settings.NodeCount()) / kRecordsPerJob);
+  return limits;
+}
+
+std::vector<std::string> Describe(const Limits& limits) {
+  std::vector<std::string> lines;
+  lines.push_back(
+      Line("admission: at most %.0f active jobs", static_cast<double>(limits.max_active_jobs)));
+  if (!limits.fair) {
+    lines.emplace_back("admission: fair admission is off");
+    return lines;
+  }
+  lines.push_back(Line("admission: %.2f record writes a second for new jobs", limits.rate));
+  static constexpr std::array<const char*, kTiers> kNames = {"prod", "high", "standard",
+                                                             "best_effort"};
+  for (size_t tier = 0; tier < kTiers; ++tier) {
+    std::string line = std::string("admission: ") + kNames[tier];
+    line += Line(" is sure of %.2f writes a second", limits.tier_rate[tier]);
+    line += Line(", a team of weight 1 holds turns worth %.1f", limits.turn_cost_per_weight[tier]);
+    const double bound = limits.WaitBound(tier);
+    line += Line(", and waits at most %.1f s for a turn", bound);
+    if (bound > kUserPatienceS) line += " (longer than users wait)";
+    lines.push_back(line);
+  }
+  lines.push_back(
+      Line("admission: at most %.0f turns in all", static_cast<double>(limits.MaxTurns())));
+  lines.push_back(Line("admission: at most %.0f admitted jobs wait for their record",
+                       static_cast<double>(limits.max_unstored)));
+  lines.push_back(Line("admission: a follower without a grant forwards %.1f submissions a second",
+                       limits.follower_trickle));
+  return lines;
+}
+
+}  // namespace zinclead::admission
--- a/src/config/operator_settings.h
+++ b/src/config/operator_settings.h
@@ -3,10 +3,30 @@
 #ifndef ZINCLEAD_CONFIG_OPERATOR_SETTINGS_H_
 #define ZINCLEAD_CONFIG_OPERATOR_SETTINGS_H_
 
+#include <map>
 #include <string>
 
 namespace zinclead::config {
 
+// How new submissions share the state service's changes when more comes than can be recorded.
+struct AdmissionSettings {
+  // 1: submissions are admitted by tier and team (docs/admission.md). 0: by the ceiling alone.
+  int fair = 0;
+  // Share of the state service's changes that new jobs may take.
+  double rate_share = 0.75;
+  // Seconds of its rate that a tier may save up.
+  double burst_s = 10;
+  // How long a turn stays open for its user after the time that was named.
+  double turn_window_s = 5;
+  // Parts of the rate that the tiers are sure of.
+  double prod_weight = 6;
+  double high_weight = 4;
+  double standard_weight = 3;
+  double best_effort_weight = 2;
+  // Teams' weights within each tier; 1 where a team is not named.
+  std::map<std::string, double> team_weights;
+};
+
 struct OperatorSettings {
   // Dispatch: pending jobs are tried again after retry_s plus up to retry_jitter_s, oldest first;
   // deadline_s after its submission a job loses its place in that order (it still runs).
@@ -17,6 +37,7 @@
   double begin_within_s = 120;
   // Admission: active jobs above which new ones are answered busy.
   int max_active_jobs = 1024;
+  AdmissionSettings admission;
   // Fleet: an idle machine goes back after idle_s; rent requests use at most rent_share of the
   // cloud's request rate.
   double idle_s = 20;
--- a/src/core/cluster.cc
+++ b/src/core/cluster.cc
@@ -20,6 +20,8 @@
                  PassClock pass_clock)
     : settings_(settings),
       tuning_(tuning),
+      admission_limits_(admission::DeriveLimits(settings, tuning)),
+      admission_(admission_limits_, now, random_seed),
       term_(term),
       started_at_(now),
       earlier_until_(now + KeepAliveLimit(settings)),
@@ -77,7 +79,7 @@
 }
 
 SubmitOutcome Cluster::Submit(const wire::JobSpec& spec, double now, double wall_now,
-                              std::string* error) {
+                              std::string* error, admission::Decision* busy) {
   if (finished_.contains(spec.id)) return SubmitOutcome::kKnown;
   if (const Job* known = FindJob(spec.id)) {
     return known->stored ? SubmitOutcome::kKnown : SubmitOutcome::kPendingStore;
@@ -103,11 +105,15 @@
     *error = "its tasks can never run together: at most half of them may be in one zone";
     return SubmitOutcome::kUnprocessable;
   }
-  if (!Admits(spec)) return SubmitOutcome::kBusy;
+  const admission::Decision decision = admission_.Decide(
+      {spec.id, spec.team, admission::TierOf(spec.priority), admission_limits_.CostOf(spec)}, now);
+  if (!decision.admitted) {
+    if (busy != nullptr) *busy = decision;
+    return SubmitOutcome::kBusy;
+  }
   const auto accepted_ms = static_cast<int64_t>(std::llround(wall_now * 1000));
   auto job = NewJob(spec, accepted_ms, now);
   active_jobs_[{accepted_ms, spec.id}] = job.get();
-  ++team_jobs_[spec.team];
   MarkDirty(JobKey(spec.id), Importance::kUser);
   jobs_[spec.id] = std::move(job);
   return SubmitOutcome::kAccepted;
@@ -124,25 +130,15 @@
   return zones.size() > 1;
 }
 
-// Half of the ceiling is shared; the other half is kept for the teams in equal parts, so that one
-// team's swarm can't lock the others out (DESIGN names this break).
-bool Cluster::Admits(const wire::JobSpec& spec) const {
-  const auto ceiling = static_cast<size_t>(tuning_.max_active_jobs);
-  if (active_jobs_.size() >= ceiling) return false;
-  const size_t kept = ceiling / (2 * std::max<size_t>(1, settings_.teams.size()));
-  const auto own = team_jobs_.find(spec.team);
-  if (own == team_jobs_.end() || own->second < kept) return true;
-  size_t shared = 0;
-  for (const auto& [team, count] : team_jobs_) shared += count > kept ? count - kept : 0;
-  return shared < ceiling - kept * settings_.teams.size();
-}
-
 CancelOutcome Cluster::Cancel(const std::string& id) {
   if (const auto it = finished_.find(id); it != finished_.end()) {
     return it->second.state == FinalState::kDone ? CancelOutcome::kDone : CancelOutcome::kCancelled;
   }
   Job* job = FindJob(id);
-  if (job == nullptr) return CancelOutcome::kUnknown;
+  if (job == nullptr) {
+    admission_.Withdraw(id);
+    return CancelOutcome::kUnknown;
+  }
   if (!job->stored) return CancelOutcome::kUndecided;
   if (job->final_state == FinalState::kDone) return CancelOutcome::kDone;
   if (job->final_state == FinalState::kCancelled) return CancelOutcome::kCancelled;
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -21,6 +21,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/admission_policy.h"
 #include "config/operator_settings.h"
 #include "config/settings.h"
 #include "core/gang.h"
@@ -246,7 +247,9 @@
   void FinishLoading(double now);
 
   // ---- users ----
-  SubmitOutcome Submit(const wire::JobSpec& spec, double now, double wall_now, std::string* error);
+  // kBusy: `busy` says when the user should come back.
+  SubmitOutcome Submit(const wire::JobSpec& spec, double now, double wall_now, std::string* error,
+                       admission::Decision* busy = nullptr);
   CancelOutcome Cancel(const std::string& id);
   struct JobView {
     wire::JobPhase phase = wire::JobPhase::kPending;
@@ -310,6 +313,9 @@
   const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
   const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
   size_t PendingTasks() const;
+  // What followers may forward to this leader (see admission::AdmissionPolicy::MakeGrant).
+  wire::CreditGrant MakeCreditGrant(double now) { return admission_.MakeGrant(now); }
+  const admission::AdmissionPolicy& admission() const { return admission_; }
   // How long after the start of a term a silent machine's session may still be kept alive by an
   // earlier leader that has lost the state service (see KeepAliveLimit).
   static double KeepAliveLimit(const config::Settings& settings);
@@ -362,7 +368,6 @@
   static bool Unseen(const Machine& m) {
     return m.may_hold_tasks && !m.acknowledged && !m.session_gone;
   }
-  bool Admits(const wire::JobSpec& spec) const;
   bool CanStandTogether(const wire::JobSpec& spec) const;
 
   struct Dirty {
@@ -409,6 +414,8 @@
 
   const config::Settings settings_;
   const config::OperatorSettings tuning_;
+  const admission::Limits admission_limits_;
+  admission::AdmissionPolicy admission_;
   const uint64_t term_;
   const double started_at_;
   double earlier_until_;      // until then an earlier leader may keep leases alive
@@ -433,7 +440,6 @@
   std::unordered_map<std::string, std::unique_ptr<RentRecord>> rents_;
   std::unordered_set<std::string> deleted_;  // machines whose deletion was answered
   std::map<std::string, size_t> machines_in_zone_;
-  std::map<std::string, size_t> team_jobs_;  // active jobs by team
   std::map<std::string, wire::MachineType> types_;
   std::map<std::string, Resources> team_usage_;
   // Services' attempts whose start is in no answer yet, the oldest job's first.
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -79,7 +79,8 @@
     job->cancel_wanted = true;
   } else {
     active_jobs_[{job->accepted_ms, id}] = job.get();
-    ++team_jobs_[job->spec.team];
+    admission_.AddActive(job->spec.team);
+    admission_.AddAccepted(id, job->accepted_at, started_at_);
     ApplyDone(job.get(), 0, value.value("done", std::string()));
   }
   jobs_[id] = std::move(job);
@@ -294,6 +295,7 @@
     if (job == nullptr) return;
     MarkStored(job, rendered.done);
     job->stored = true;
+    admission_.OnStored(job->spec.id, now);
     settled_jobs_.push_back(job->spec.id);
     if (rendered.final_state == FinalState::kNone) {
       OnJobRecordStored(job, rendered.chunk);
@@ -329,7 +331,7 @@
 // The job's end is durable.
 void Cluster::Settle(Job* job, FinalState state, double now) {
   job->final_state = state;
-  if (active_jobs_.erase({job->accepted_ms, job->spec.id}) > 0) --team_jobs_[job->spec.team];
+  if (active_jobs_.erase({job->accepted_ms, job->spec.id}) > 0) admission_.OnEnded(job->spec.team);
   if (state == FinalState::kDone) {
     for (TaskState& task : job->tasks) task = TaskState::kDone;
     job->done_stored = job->spec.tasks;
--- a/src/service/leader.cc
+++ b/src/service/leader.cc
@@ -121,11 +121,36 @@
   PollCloud(now);
   if (now >= summary_at_) {
     summary_at_ = now + settings_.lease_s;
-    const std::lock_guard lock(scheduler_->mutex);
-    spdlog::info("term {}: {} active jobs, {} pending tasks, {} machines{}", term_,
-                 cluster_->ActiveJobs(), cluster_->PendingTasks(), cluster_->machines().size(),
-                 cluster_->settled() ? "" : ", taking over");
+    LogSummary();
+  }
+}
+
+void Leader::LogSummary() {
+  const std::lock_guard lock(scheduler_->mutex);
+  spdlog::info("term {}: {} active jobs, {} pending tasks, {} machines{}", term_,
+               cluster_->ActiveJobs(), cluster_->PendingTasks(), cluster_->machines().size(),
+               cluster_->settled() ? "" : ", taking over");
+  if (tuning_.admission.fair == 0) return;
+  const admission::AdmissionPolicy& admission = cluster_->admission();
+  const admission::Counters& counts = admission.counters();
+  spdlog::info(
+      "term {}: admission: {} admitted, {} refused with a turn, {} without, {} turns lapsed, {} "
+      "turns held, longest wait {:.1f} s",
+      term_, counts.admitted, counts.refused_with_turn, counts.refused_without_turn,
+      counts.turns_lapsed, admission.turns(), counts.longest_wait_s);
+}
+
+std::optional<wire::CreditGrant> Leader::MakeCreditGrant() {
+  if (tuning_.admission.fair == 0) return std::nullopt;
+  if (!loaded_) {
+    // Nothing can be judged yet: followers let through what they do without a grant.
+    wire::CreditGrant none;
+    none.limited = true;
+    none.by_tier.resize(admission::kTiers);
+    return none;
   }
+  const std::lock_guard lock(scheduler_->mutex);
+  return cluster_->MakeCreditGrant(net::SteadyNow());
 }
 
 void Leader::PollCloud(double now) {
@@ -277,10 +302,11 @@
   }
   std::string error;
   SubmitOutcome outcome{};
+  admission::Decision busy;
   std::optional<core::Cluster::JobView> view;
   {
     const std::lock_guard lock(scheduler_->mutex);
-    outcome = cluster_->Submit(spec, now, net::WallNow(), &error);
+    outcome = cluster_->Submit(spec, now, net::WallNow(), &error, &busy);
     view = cluster_->View(spec.id);
   }
   switch (outcome) {
@@ -296,8 +322,8 @@
     case SubmitOutcome::kUnprocessable:
       return reply({422, 0, wire::ErrorBody(error)});
     case SubmitOutcome::kBusy:
-      return reply({429, static_cast<int>(tuning_.retry_s) + 1,
-                    wire::ErrorBody("too many active jobs, come back later")});
+      return reply(
+          {429, busy.retry_after_s, wire::ErrorBody("too many active jobs, come back later")});
     case SubmitOutcome::kUndecided:
       return reply(TryLater("the machine types are not known yet"));
   }
--- a/src/service/leader.h
+++ b/src/service/leader.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,6 +23,7 @@
 #include "net/http_server.h"
 #include "state/committer.h"
 #include "state/store_client.h"
+#include "wire/peer_messages.h"
 #include "wire/wire.h"
 
 namespace zinclead::service {
@@ -63,6 +65,9 @@
   // A peer has shown that it knows this term; it leads no earlier one then, nor will it again.
   void OnPeerKnows(const std::string& peer);
 
+  // What followers may forward to this leader; nullopt if admission sets them no limit.
+  std::optional<wire::CreditGrant> MakeCreditGrant();
+
   bool loaded() const { return loaded_; }
   uint64_t term() const { return term_; }
 
@@ -75,6 +80,7 @@
   void Load(const std::string& after);
   void Loaded();
   void Tick();
+  void LogSummary();
   void PollCloud(double now);
   void AfterChange();
   void OnStored();
--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -4,8 +4,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 #include <utility>
 
+#include "wire/peer_messages.h"
+
 namespace zinclead::service {
 namespace {
 
@@ -23,6 +26,8 @@
 constexpr double kForwardShare = 0.75;
 // Pings to each peer in the life of the leader's lease.
 constexpr double kPingsPerLease = 2;
+// Pings after which what the leader lets this node forward no longer counts.
+constexpr double kGrantPings = 3;
 // A call that failed after this share of its time ran out of it; before, it was refused.
 constexpr double kSilentShare = 0.9;
 // Leader's leases after which a node that reaches no peer counts as cut off, and after which a
@@ -45,7 +50,10 @@
       elector_(
           &election_timers_, &store_, settings_, tuning_,
           {[this](uint64_t term, const wire::StoreCondition& fence) { OnElected(term, fence); },
-           [this] { OnLost(); }}) {
+           [this] { OnLost(); }}),
+      admission_limits_(admission::DeriveLimits(settings_, tuning_)),
+      credit_gate_(admission_limits_, kGrantPings * elector_.lease_s() / kPingsPerLease,
+                   std::random_device()()) {
   loop_.LimitSlice(
       std::max(kLeastSliceRequests, static_cast<size_t>(kSliceRequests * settings_.core_share)));
   const size_t connections =
@@ -138,7 +146,7 @@
   loop_.StartTimer(
       &peer_timer_, elector_.lease_s() / kPingsPerLease, [this] { PingPeers(); },
       net::Urgency::kUrgent);
-  const std::string body = Notice();
+  const std::string body = Notice(leader_ == nullptr ? std::nullopt : leader_->MakeCreditGrant());
   for (auto& [name, peer] : peers_) {
     if (std::exchange(peer.pinged, true)) continue;
     CallPeer(name, wire::kPeerLeaderPath, body, elector_.lease_s(),
@@ -155,9 +163,9 @@
   }
 }
 
-std::string Node::Notice() const {
+std::string Node::Notice(std::optional<wire::CreditGrant> credits) const {
   return ToJson(wire::LeaderNotice{elector_.leading() ? settings_.node : std::string(),
-                                   elector_.leader_term()})
+                                   elector_.leader_term(), std::move(credits)})
       .dump();
 }
 
@@ -212,6 +220,9 @@
     const auto notice = wire::ParseLeaderNotice(request.body);
     if (!notice) return responder->Send(BadRequest("malformed notice"));
     elector_.OnLeaderNotice(notice->node, notice->term);
+    if (!notice->node.empty()) {
+      credit_gate_.OnLeaderNotice(notice->term, notice->credits, net::SteadyNow());
+    }
     return responder->Send({200, 0, Notice()});
   }
   if (request.path != wire::kPeerForwardPath) return responder->Send(NotFound());
@@ -249,7 +260,14 @@
       return leader_->Submit(*spec, reply);
     }
     if (forwarded) return reply(TryLater("not the leader"));
-    return Forward(method, path, body, kForwardShare * wire::kSubmitPatienceS, reply);
+    admission::Request request;
+    if (spec) {
+      request = {spec->id, spec->team, admission::TierOf(spec->priority),
+                 admission_limits_.CostOf(*spec)};
+    } else {
+      request.id = *wire::SubmissionId(body);
+    }
+    return ForwardSubmission(request, body, reply);
   }
   const std::string prefix = std::string(wire::kJobsPath) + "/";
   if (path.compare(0, prefix.size(), prefix) != 0) return reply(NotFound());
@@ -268,6 +286,23 @@
   Forward(method, path, "", kForwardShare * wire::kPollPatienceS, reply);
 }
 
+void Node::ForwardSubmission(const admission::Request& request, const std::string& body,
+                             const Reply& reply) {
+  const auto verdict = credit_gate_.Ask(request, net::SteadyNow());
+  if (!verdict.forward) {
+    return reply({429, verdict.retry_after_s, wire::ErrorBody("more is asked than can be taken")});
+  }
+  Forward("POST", std::string(wire::kJobsPath), body, kForwardShare * wire::kSubmitPatienceS,
+          [this, id = request.id, reply](net::Response response) {
+            if (response.status == 429) {
+              credit_gate_.OnRefused(id, response.retry_after_s, net::SteadyNow());
+            } else if (response.status == 503) {
+              response.retry_after_s = credit_gate_.DrawRetryWithoutLeader();
+            }
+            reply(std::move(response));
+          });
+}
+
 void Node::Report(const std::string& body, bool forwarded, const Reply& reply) {
   std::string error;
   spdlog::debug("report: {}", body);
--- a/src/service/node.h
+++ b/src/service/node.h
@@ -5,10 +5,12 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unordered_map>
 
+#include "admission/credit_gate.h"
 #include "cloud/cloud_client.h"
 #include "config/operator_settings.h"
 #include "config/settings.h"
@@ -42,12 +44,15 @@
   // A user's call, checked for form here and answered here or by the leader.
   void User(const std::string& method, const std::string& path, const std::string& body,
             bool forwarded, const Reply& reply);
+  // A submission that reached a follower: forwarded if admission lets it, else refused at once.
+  void ForwardSubmission(const admission::Request& request, const std::string& body,
+                         const Reply& reply);
   void Report(const std::string& body, bool forwarded, const Reply& reply);
   void Forward(const std::string& method, const std::string& path, const std::string& body,
                double timeout_s, const Reply& reply);
   void PingPeers();
   // What it tells peers of who leads.
-  std::string Notice() const;
+  std::string Notice(std::optional<wire::CreditGrant> credits = std::nullopt) const;
   // Calls a peer and takes down what its answer, or its silence, says of it.
   void CallPeer(const std::string& name, std::string_view path, std::string body, double timeout_s,
                 net::HttpClient::Callback done);
@@ -67,6 +72,8 @@
   std::unique_ptr<Leader> leader_;
   std::map<std::string, Peer> peers_;
   PeerLinks links_;
+  const admission::Limits admission_limits_;
+  admission::CreditGate credit_gate_;
   // Workers that were pointed to the leader and until when they are handed on instead if they come
   // back: they can't reach it.
   std::unordered_map<std::string, double> pointed_;
--- /dev/null
+++ b/src/wire/peer_messages.h
@@ -0,0 +1,56 @@
+// Messages between the service's own nodes. Receivers ignore fields that they don't know, so that
+// versions work side by side.
+#ifndef ZINCLEAD_WIRE_PEER_MESSAGES_H_
+#define ZINCLEAD_WIRE_PEER_MESSAGES_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/wire.h"
+
+namespace zinclead::wire {
+
+// One call carries a user's or worker's request to the leader; the answer carries the leader's.
+inline constexpr std::string_view kPeerForwardPath = "/peer/forward";
+inline constexpr std::string_view kPeerLeaderPath = "/peer/leader";
+
+struct ForwardedRequest {
+  std::string method;
+  std::string path;
+  std::string body;
+  uint64_t term = 0;  // the highest term the sender knows
+};
+struct ForwardedResponse {
+  int status = 0;
+  int retry_after_s = 0;
+  std::string body;
+  uint64_t term = 0;
+};
+// Which submissions a follower may forward to the leader until the next grant. Optional: versions
+// without fair admission neither send nor read it.
+struct CreditGrant {
+  bool limited = false;  // false: all may be forwarded
+  // Submissions of ids that the leader doesn't know, by tier and team.
+  std::vector<std::map<std::string, uint64_t>> by_tier;
+  std::string turns;     // filter of the ids that have a turn (admission::IdFilter)
+  std::string accepted;  // filter of the ids that were accepted lately
+};
+struct LeaderNotice {
+  std::string node;  // empty: the sender doesn't lead
+  uint64_t term = 0;
+  std::optional<CreditGrant> credits = std::nullopt;  // from the leader
+};
+Json ToJson(const ForwardedRequest& request);
+Json ToJson(const ForwardedResponse& response);
+Json ToJson(const LeaderNotice& notice);
+std::optional<ForwardedRequest> ParseForwardedRequest(std::string_view body);
+std::optional<ForwardedResponse> ParseForwardedResponse(std::string_view body);
+std::optional<LeaderNotice> ParseLeaderNotice(std::string_view body);
+
+}  // namespace zinclead::wire
+
+#endif  // ZINCLEAD_WIRE_PEER_MESSAGES_H_
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -5,119 +5,16 @@
 #include <cmath>
 #include <utility>
 
+#include "wire/json_reader.h"
 #include "wire/labels.h"
 #include "wire/report_reader.h"
 
 namespace zinclead::wire {
 namespace {
 
-Json Parse(std::string_view body) { return Json::parse(body, nullptr, /*allow_exceptions=*/false); }
-
-// A reader for the fields of one object. The first failure is kept; later reads are no-ops, so
-// callers check once at the end.
-class Reader {
- public:
-  explicit Reader(const Json& json) : json_(json) {
-    if (!json.is_object()) Fail("not a JSON object");
-  }
-
-  bool ok() const { return error_.empty(); }
-  const std::string& error() const { return error_; }
-
-  void String(const char* name, std::string* out, size_t max = 1024) {
-    const Json* v = Find(name, true);
-    if (v == nullptr) return;
-    if (!v->is_string()) return Fail(name, "must be a string");
-    *out = v->get_ref<const std::string&>();
-    if (out->size() > max) Fail(name, "is too long");
-  }
-  void Amount(const char* name, double* out) {
-    const Json* v = Find(name, true);
-    if (v != nullptr) AmountOf(name, *v, out);
-  }
-  void OptionalAmount(const char* name, std::optional<double>* out) {
-    const Json* v = Find(name, false);
-    if (v == nullptr) return;
-    double amount = 0;
-    AmountOf(name, *v, &amount);
-    *out = amount;
-  }
-  void Bool(const char* name, bool* out) {
-    const Json* v = Find(name, true);
-    if (v == nullptr) return;
-    if (!v->is_boolean()) return Fail(name, "must be true or false");
-    *out = v->get<bool>();
-  }
-  void Unsigned(const char* name, uint64_t* out) {
-    const Json* v = Find(name, true);
-    if (v == nullptr) return;
-    // The parser reads every non-negative integer below 2^64 as unsigned.
-    if (!v->is_number_unsigned()) return Fail(name, "must be a non-negative integer");
-    *out = v->get<uint64_t>();
-  }
-  void OptionalStrings(const char* name, std::optional<std::vector<std::string>>* out) {
-    const Json* v = Find(name, false);
-    if (v == nullptr) return;
-    if (!v->is_array()) return Fail(name, "must be a list");
-    out->emplace();
-    for (const Json& item : *v) {
-      if (!item.is_string()) return Fail(name, "must be a list of strings");
-      (*out)->push_back(item.get<std::string>());
-    }
-  }
-  void OptionalString(const char* name, std::optional<std::string>* out) {
-    if (Find(name, false) == nullptr) return;
-    std::string text;
-    String(name, &text);
-    *out = text;
-  }
-  template <typename E, size_t N>
-  void Enum(const char* name, const std::array<std::pair<const char*, E>, N>& values, E* out) {
-    const Json* v = Find(name, true);
-    if (v == nullptr) return;
-    if (!v->is_string()) return Fail(name, "must be a string");
-    const std::optional<E> value = FromLabel(values, v->get_ref<const std::string&>());
-    if (!value) return Fail(name, "has an unknown value");
-    *out = *value;
-  }
-  const Json* Array(const char* name) {
-    const Json* v = Find(name, true);
-    if (v == nullptr) return nullptr;
-    if (!v->is_array()) {
-      Fail(name, "must be a list");
-      return nullptr;
-    }
-    return v;
-  }
-  void Fail(const char* name, const char* what) { Fail(std::string(name) + " " + what); }
-  void Fail(std::string what) {
-    if (error_.empty()) error_ = std::move(what);
-  }
-
- private:
-  // A missing field and null are the same.
-  const Json* Find(const char* name, bool required) {
-    if (!ok()) return nullptr;
-    auto it = json_.find(name);
-    if (it == json_.end() || it->is_null()) {
-      if (required) Fail(name, "is missing");
-      return nullptr;
-    }
-    return &*it;
-  }
-  void AmountOf(const char* name, const Json& v, double* out) {
-    if (!v.is_number()) return Fail(name, "must be a number");
-    *out = v.get<double>();
-    if (!std::isfinite(*out) || *out < 0) Fail(name, "must be finite and not negative");
-  }
-
-  const Json& json_;
-  std::string error_;
-};
-
 template <typename T, typename F>
 std::optional<std::vector<T>> ParseList(std::string_view body, const char* name, F&& item) {
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   Reader reader(json);
   const Json* list = reader.Array(name);
   if (list == nullptr) return std::nullopt;
@@ -187,7 +84,7 @@
     *error = "body is over 64 KiB";
     return std::nullopt;
   }
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   if (json.is_discarded()) {
     *error = "not JSON";
     return std::nullopt;
@@ -197,7 +94,7 @@
 
 std::optional<std::string> SubmissionId(std::string_view body) {
   if (body.size() > kMaxBody) return std::nullopt;
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   std::string id;
   Reader reader(json);
   reader.String("uid", &id);
@@ -398,7 +295,7 @@
 }
 
 bool IsNoCapacity(std::string_view body) {
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   return json.is_object() && json.contains("error") && json["error"] == "no capacity";
 }
 
@@ -420,7 +317,7 @@
   if (!machines) return std::nullopt;
   MachinePage page;
   page.machines = std::move(*machines);
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   page.more = json.value("truncated", false);
   return page;
 }
@@ -444,11 +341,11 @@
 }  // namespace
 
 std::optional<StoreItem> ParseStoreItem(std::string_view body) {
-  return StoreItemFromJson(Parse(body));
+  return StoreItemFromJson(ParseJson(body));
 }
 
 std::optional<StorePage> ParseStorePage(std::string_view body) {
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   Reader reader(json);
   StorePage page;
   const Json* list = reader.Array("entries");
@@ -484,7 +381,7 @@
 }
 
 std::optional<uint64_t> ParseRevision(std::string_view body) {
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   Reader reader(json);
   uint64_t revision = 0;
   reader.Unsigned("ledger", &revision);
@@ -499,7 +396,7 @@
 std::string LeaseBody(int64_t ttl_ms) { return Dump({{"lifeMs", ttl_ms}}); }
 
 std::optional<uint64_t> ParseLease(std::string_view body) {
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   Reader reader(json);
   uint64_t lease = 0;
   reader.Unsigned("tenure", &lease);
@@ -508,7 +405,7 @@
 }
 
 bool IsNoSuchLease(std::string_view body) {
-  const Json json = Parse(body);
+  const Json json = ParseJson(body);
   return json.is_object() && json.contains("error") && json["error"] == "no such lease";
 }
 
@@ -531,58 +428,4 @@
   return std::string(kLeasesPath) + "/" + std::to_string(lease);
 }
 
-Json ToJson(const ForwardedRequest& request) {
-  return {{"method", request.method},
-          {"path", request.path},
-          {"body", request.body},
-          {"term", request.term}};
-}
-
-Json ToJson(const ForwardedResponse& response) {
-  return {{"status", response.status},
-          {"retry_after_s", response.retry_after_s},
-          {"body", response.body},
-          {"term", response.term}};
-}
-
-Json ToJson(const LeaderNotice& notice) { return {{"node", notice.node}, {"term", notice.term}}; }
-
-std::optional<ForwardedRequest> ParseForwardedRequest(std::string_view body) {
-  const Json json = Parse(body);
-  ForwardedRequest request;
-  Reader reader(json);
-  reader.String("method", &request.method);
-  reader.String("path", &request.path);
-  reader.String("body", &request.body, 2 * kMaxBody);
-  reader.Unsigned("term", &request.term);
-  if (!reader.ok()) return std::nullopt;
-  return request;
-}
-
-std::optional<ForwardedResponse> ParseForwardedResponse(std::string_view body) {
-  const Json json = Parse(body);
-  ForwardedResponse response;
-  Reader reader(json);
-  uint64_t status = 0;
-  uint64_t retry = 0;
-  reader.Unsigned("status", &status);
-  reader.Unsigned("retry_after_s", &retry);
-  reader.String("body", &response.body, 4 * kMaxBody);
-  reader.Unsigned("term", &response.term);
-  if (!reader.ok() || status < 200 || status > 599) return std::nullopt;
-  response.status = static_cast<int>(status);
-  response.retry_after_s = static_cast<int>(retry);
-  return response;
-}
-
-std::optional<LeaderNotice> ParseLeaderNotice(std::string_view body) {
-  const Json json = Parse(body);
-  LeaderNotice notice;
-  Reader reader(json);
-  reader.String("node", &notice.node);
-  reader.Unsigned("term", &notice.term);
-  if (!reader.ok()) return std::nullopt;
-  return notice;
-}
-
 }  // namespace zinclead::wire
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -232,35 +232,6 @@
 inline constexpr std::string_view kTransactionPath = "/commit";
 inline constexpr std::string_view kLeasesPath = "/grants";
 
-// ---- between the service's own nodes ----
-
-// One call carries a user's or worker's request to the leader; the answer carries the leader's.
-inline constexpr std::string_view kPeerForwardPath = "/peer/forward";
-inline constexpr std::string_view kPeerLeaderPath = "/peer/leader";
-
-struct ForwardedRequest {
-  std::string method;
-  std::string path;
-  std::string body;
-  uint64_t term = 0;  // the highest term the sender knows
-};
-struct ForwardedResponse {
-  int status = 0;
-  int retry_after_s = 0;
-  std::string body;
-  uint64_t term = 0;
-};
-struct LeaderNotice {
-  std::string node;
-  uint64_t term = 0;
-};
-Json ToJson(const ForwardedRequest& request);
-Json ToJson(const ForwardedResponse& response);
-Json ToJson(const LeaderNotice& notice);
-std::optional<ForwardedRequest> ParseForwardedRequest(std::string_view body);
-std::optional<ForwardedResponse> ParseForwardedResponse(std::string_view body);
-std::optional<LeaderNotice> ParseLeaderNotice(std::string_view body);
-
 }  // namespace zinclead::wire
 
 #endif  // ZINCLEAD_WIRE_WIRE_H_
--- a/tests/compatibility_test.cc
+++ b/tests/compatibility_test.cc
@@ -9,6 +9,7 @@
 
 #include "core/cluster.h"
 #include "fixtures.h"
+#include "wire/peer_messages.h"
 
 namespace zinclead::core {
 namespace {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -1,3 +1,4 @@
+#include "wire/peer_messages.h"
 #include "wire/wire.h"
 
 #include <gtest/gtest.h>
