Admission: a turn gives its place back wherever it ends

Cause: on rereading, a granted turn whose id came back as another job kept its place under the ceiling; the release stood at four places and was missing at the fifth. Change: RemoveTurn releases it; a test.

--- a/src/admission/admission_policy.cc
+++ b/src/admission/admission_policy.cc
@@ -31,7 +31,6 @@
     Turn* turn = it->second.get();
     if (!turn->granted) return Refuse(turn, now);
     counters_.longest_wait_s = std::max(counters_.longest_wait_s, now - turn->begun_at);
-    active_.Remove(request.team);  // held for the turn; the job takes it over
     RemoveTurn(request.id);
     return Admit(request);
   }
@@ -39,7 +38,6 @@
   Turn* turn = AddTurn(request, now);
   GrantTurns(now);
   if (!turn->granted) return Refuse(turn, now);
-  active_.Remove(request.team);
   RemoveTurn(request.id);
   return Admit(request);
 }
@@ -62,10 +60,7 @@
 }
 
 void AdmissionPolicy::Withdraw(const std::string& id) {
-  const auto it = turns_.find(id);
-  if (it == turns_.end()) return;
-  if (it->second->granted) active_.Remove(it->second->team);
-  RemoveTurn(id);
+  if (turns_.contains(id)) RemoveTurn(id);
 }
 
 wire::CreditGrant AdmissionPolicy::MakeGrant(double now) {
@@ -124,11 +119,8 @@
     const std::string id = closing_.begin()->second;
     const Turn& turn = *turns_.at(id);
     ++counters_.turns_lapsed;
-    if (turn.granted) {
-      // What it did not use goes to the next.
-      common_tokens_ += turn.cost;
-      active_.Remove(turn.team);
-    }
+    // What it did not use goes to the next.
+    if (turn.granted) common_tokens_ += turn.cost;
     RemoveTurn(id);
   }
 }
@@ -182,7 +174,11 @@
   const auto it = turns_.find(id);
   Turn* turn = it->second.get();
   closing_.erase({turn->closes_at, id});
-  if (!turn->granted) queues_[turn->tier].Remove(turn);
+  if (turn->granted) {
+    active_.Remove(turn->team);  // the place that was held for it
+  } else {
+    queues_[turn->tier].Remove(turn);
+  }
   turns_.erase(it);
 }
 
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -463,6 +463,15 @@
   EXPECT_EQ(policy.active().total(), active_then + 1);
   policy.MakeGrant(20);
   EXPECT_EQ(policy.active().total(), active_then);
+  // And so does one whose id comes back as another job: that one takes a place of its own.
+  while (policy.Decide({"req-m" + std::to_string(++sent), Team(0), kProd, 2}, 20).admitted) {
+  }
+  const std::string id = "req-m" + std::to_string(sent);
+  const size_t before = policy.active().total();
+  policy.MakeGrant(22);
+  EXPECT_EQ(policy.active().total(), before + 1);
+  const bool admitted = policy.Decide({id, Team(0), kBestEffort, 2}, 22).admitted;
+  EXPECT_EQ(policy.active().total(), before + (admitted ? 1 : 0));
   EXPECT_EQ(policy.counters().turns_lapsed, 1U);
 }
 
