--- a/src/app/fault_injection_main.cc
+++ b/src/app/fault_injection_main.cc
@@ -18,20 +18,6 @@
 constexpr int kPropertyBrokenExitCode = 1;
 constexpr int kErrorExitCode = 2;
 
-// Padded to one width, so that the properties are aligned.
-const char* OutcomeText(zinclead::fault_injection::Outcome outcome) {
-  using zinclead::fault_injection::Outcome;
-  switch (outcome) {
-    case Outcome::kHeld:
-      return "held       ";
-    case Outcome::kBroken:
-      return "broken     ";
-    case Outcome::kNotChecked:
-      return "not checked";
-  }
-  return "";
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -60,7 +46,8 @@
     if (is_check_only) return 0;
     bool is_any_broken = false;
     for (const auto& result : RunScenario(scenario, options)) {
-      std::cout << OutcomeText(result.outcome) << "  " << result.property;
+      std::cout << zinclead::fault_injection::OutcomeText(result.outcome) << "  "
+                << result.property;
       if (!result.evidence.empty()) std::cout << ": " << result.evidence;
       std::cout << "\n";
       is_any_broken =
--- a/src/fault_injection/controller_processes.cc
+++ b/src/fault_injection/controller_processes.cc
@@ -1,7 +1,9 @@
 #include "fault_injection/controller_processes.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -31,6 +33,9 @@
   return ports;
 }
 
+// Descriptors of a controller that are not sockets.
+constexpr rlim_t kOtherDescriptors = 10;
+
 std::string LoopbackAddress(uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
 }  // namespace
@@ -38,7 +43,8 @@
 ControllerProcesses::ControllerProcesses(net::EventLoop* loop, ControllerOptions options)
     : options_(std::move(options)),
       ports_(FindFreePorts(loop, 2 * options_.count)),
-      pids_(options_.count, 0) {}
+      pids_(options_.count, 0),
+      cpu_share_limiter_(options_.are_limits_enforced ? options_.core_share : 1) {}
 
 ControllerProcesses::~ControllerProcesses() {
   for (size_t i = 0; i < pids_.size(); ++i) {
@@ -65,40 +71,67 @@
   argv.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) argv.push_back(argument.data());
   argv.push_back(nullptr);
+  const std::string log_path =
+      options_.log_dir.empty() ? "" : options_.log_dir + "/" + NodeName(index) + ".log";
+  rlimit descriptors{};
+  descriptors.rlim_cur = static_cast<rlim_t>(options_.sockets) + kOtherDescriptors;
+  descriptors.rlim_max = descriptors.rlim_cur;
   const pid_t parent = getpid();
   const pid_t pid = fork();
   if (pid < 0) throw std::runtime_error("cannot start a controller: fork failed");
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) _exit(1);  // the parent ended before prctl()
+    if (!log_path.empty()) {
+      const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      if (log >= 0) dup2(log, STDERR_FILENO);
+    }
+    // The sockets of the parent must not stay open in the child, nor count towards its limit.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (options_.are_limits_enforced) setrlimit(RLIMIT_NOFILE, &descriptors);
     execv(argv[0], argv.data());
     _exit(127);
   }
   pids_[index] = pid;
+  cpu_share_limiter_.Add(pid);
 }
 
 void ControllerProcesses::Kill(size_t index) {
   if (pids_[index] == 0) return;
+  cpu_share_limiter_.Remove(pids_[index]);
   kill(pids_[index], SIGKILL);
   waitpid(pids_[index], nullptr, 0);
   pids_[index] = 0;
 }
 
 void ControllerProcesses::Pause(size_t index) {
-  if (pids_[index] != 0) kill(pids_[index], SIGSTOP);
+  if (pids_[index] == 0) return;
+  cpu_share_limiter_.SetPaused(pids_[index], true);
 }
 
 void ControllerProcesses::Resume(size_t index) {
-  if (pids_[index] != 0) kill(pids_[index], SIGCONT);
+  if (pids_[index] == 0) return;
+  cpu_share_limiter_.SetPaused(pids_[index], false);
 }
 
 bool ControllerProcesses::IsRunning(size_t index) {
   if (pids_[index] == 0) return false;
   if (waitpid(pids_[index], nullptr, WNOHANG) == 0) return true;
+  cpu_share_limiter_.Remove(pids_[index]);
   pids_[index] = 0;
   return false;
 }
 
+uint16_t ControllerProcesses::PeerPort(size_t from, size_t to) const {
+  const auto it = relayed_peer_ports_.find({from, to});
+  return it == relayed_peer_ports_.end() ? peer_port(to) : it->second;
+}
+
+uint16_t ControllerProcesses::StatePort(size_t index) const {
+  const auto it = state_port_by_node_.find(index);
+  return it == state_port_by_node_.end() ? state_port_ : it->second;
+}
+
 std::map<std::string, uint16_t> ControllerProcesses::ListenPortsByNode() const {
   std::map<std::string, uint16_t> ports;
   for (size_t i = 0; i < options_.count; ++i) ports[NodeName(i)] = listen_port(i);
@@ -114,18 +147,19 @@
 void ControllerProcesses::WriteSettings(size_t index, Peers peers) const {
   std::ofstream file(SettingsPath(index));
   file << "node = \"" << NodeName(index) << "\"\nzone = \"a\"\nlisten = \""
-       << LoopbackAddress(listen_port(index)) << "\"\nback = \"" << LoopbackAddress(PeerPort(index))
-       << "\"\n";
+       << LoopbackAddress(listen_port(index)) << "\"\nback = \""
+       << LoopbackAddress(peer_port(index)) << "\"\n";
   for (size_t other = 0; other < options_.count; ++other) {
     if (other == index) continue;
     file << "[[others]]\nnode = \"" << NodeName(other) << "\"\nzone = \"a\"\naddress = \""
-         << LoopbackAddress(peers == Peers::kAll ? PeerPort(other) : 1) << "\"\n";
+         << LoopbackAddress(peers == Peers::kAll ? PeerPort(index, other) : 1) << "\"\n";
   }
   file << "[endpoints]\ncloud = \"" << LoopbackAddress(cloud_port_) << "\"\nstate = \""
-       << LoopbackAddress(state_port_) << "\"\n[settings]\ncount = " << options_.count
+       << LoopbackAddress(StatePort(index)) << "\"\n[settings]\ncount = " << options_.count
        << "\nzones = [\"a\", \"b\", \"c\"]\nclock_error_ms = 100.0\n";
   for (const std::string& team : options_.teams) {
     file << "[[settings.teams]]\nname = \"" << team << "\"\n";
+    if (options_.team_cpu_limit > 0) file << "cpus_max = " << options_.team_cpu_limit << "\n";
   }
   file << "[settings.workers]\nreport_s = " << options_.heartbeat_interval_s
        << "\nlease_s = " << options_.lease_s << "\ncancel_s = " << options_.cancel_s
--- a/src/fault_injection/controller_processes.h
+++ b/src/fault_injection/controller_processes.h
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "fault_injection/cpu_share_limiter.h"
 #include "net/event_loop.h"
 
 namespace zinclead::fault_injection {
@@ -21,6 +23,7 @@
   std::string operator_config;  // path of the operators' settings; empty: none
   size_t count = 3;             // number of controllers
   std::vector<std::string> teams = {"open"};
+  double team_cpu_limit = 0;  // of each team; 0: none
   double heartbeat_interval_s = 0.5;
   double lease_s = 5;
   double cancel_s = 12.5;
@@ -30,6 +33,10 @@
   double core_share = 1;
   int sockets = 1000;
   int mem_mb = 100;
+  // Whether the processes get no more than their share of a core and their number of sockets.
+  bool are_limits_enforced = false;
+  // Each process appends its standard error to NODE.log in this folder; empty: inherited.
+  std::string log_dir;
 };
 
 // Controllers are named by their index, from 0 to count() - 1. Belongs to the thread that made it,
@@ -44,6 +51,14 @@
 
   // Sets the loopback ports of the cloud and the state service. To be called before Start().
   void SetEndpoints(uint16_t cloud_port, uint16_t state_port);
+  // Ports at which one controller reaches the state service or another controller, in place of
+  // their own ports, for example those of relays. To be called before Start().
+  void SetStatePort(size_t index, uint16_t port) { state_port_by_node_[index] = port; }
+  void SetPeerPort(size_t from, size_t to, uint16_t port) {
+    relayed_peer_ports_[{from, to}] = port;
+  }
+  // Port on which a controller listens for its peers.
+  uint16_t peer_port(size_t index) const { return ports_[options_.count + index]; }
   // The peers that a controller can reach. kNone: its settings name a port where nothing listens.
   enum class Peers { kAll, kNone };
   // Starts the controller, and kills its former process if there is one. Throws std::runtime_error
@@ -68,7 +83,9 @@
   std::map<std::string, uint16_t> ListenPortsByNode() const;
 
  private:
-  uint16_t PeerPort(size_t index) const { return ports_[options_.count + index]; }
+  // Port at which `from` reaches `to`.
+  uint16_t PeerPort(size_t from, size_t to) const;
+  uint16_t StatePort(size_t index) const;
   void WriteSettings(size_t index, Peers peers) const;
 
   const ControllerOptions options_;
@@ -76,6 +93,9 @@
   std::vector<pid_t> pids_;      // 0: not running
   uint16_t cloud_port_ = 0;
   uint16_t state_port_ = 0;
+  std::map<size_t, uint16_t> state_port_by_node_;
+  std::map<std::pair<size_t, size_t>, uint16_t> relayed_peer_ports_;  // by from and to
+  CpuShareLimiter cpu_share_limiter_;
 };
 
 }  // namespace zinclead::fault_injection
--- a/src/fault_injection/fakes/fake_store.cc
+++ b/src/fault_injection/fakes/fake_store.cc
@@ -10,6 +10,8 @@
 
 using wire::Json;
 
+constexpr size_t kMaxListedItems = 1000;
+constexpr size_t kMaxListedBytes = size_t{512} * 1024;
 constexpr std::string_view kKeyPathPrefix = "/store/";
 constexpr std::string_view kLeasePathPrefix = "/grants/";
 
@@ -127,12 +129,18 @@
   const std::string& prefix = parameters.at("prefix");
   const auto from = parameters.find("from");
   Json items = Json::array();
+  size_t bytes = 0;
+  bool is_truncated = false;
   for (const auto& [key, entry] : entries_) {
     if (!key.starts_with(prefix)) continue;
     if (from != parameters.end() && key <= from->second) continue;
-    items.push_back({{"path", key}, {"value", entry.value}, {"stamp", entry.version}});
+    Json item = {{"path", key}, {"value", entry.value}, {"stamp", entry.version}};
+    bytes += item.dump().size();
+    is_truncated = items.size() == kMaxListedItems || bytes > kMaxListedBytes;
+    if (is_truncated) break;
+    items.push_back(std::move(item));
   }
-  return {200, {{"entries", items}, {"truncated", false}, {"ledger", revision_}}};
+  return {200, {{"entries", items}, {"truncated", is_truncated}, {"ledger", revision_}}};
 }
 
 FakeStore::Response FakeStore::GrantLease(const std::string& body) {
--- a/src/fault_injection/scenario_runner.cc
+++ b/src/fault_injection/scenario_runner.cc
@@ -1,6 +1,6 @@
 #include "fault_injection/scenario_runner.h"
 
-#include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -23,6 +23,7 @@
 #include "fault_injection/fakes/fake_store.h"
 #include "fault_injection/fakes/fake_worker.h"
 #include "fault_injection/fakes/run_until.h"
+#include "fault_injection/interrupt_guard.h"
 #include "fault_injection/users.h"
 #include "wire/labels.h"
 
@@ -38,30 +39,6 @@
 constexpr int kMaxStatusQueryRounds = 20;
 constexpr const char* kLeaderKey = "zinclead/leader";
 
-volatile sig_atomic_t interrupted = 0;
-
-// Sets `interrupted` on SIGINT and SIGTERM, on which WaitUntil() throws; restores the former
-// handlers at the end of the scope.
-class InterruptGuard {
- public:
-  InterruptGuard() {
-    interrupted = 0;
-    old_sigint_handler_ = signal(SIGINT, [](int) { interrupted = 1; });
-    old_sigterm_handler_ = signal(SIGTERM, [](int) { interrupted = 1; });
-  }
-  ~InterruptGuard() {
-    signal(SIGINT, old_sigint_handler_);
-    signal(SIGTERM, old_sigterm_handler_);
-  }
-  InterruptGuard(const InterruptGuard&) = delete;
-  InterruptGuard& operator=(const InterruptGuard&) = delete;
-
- private:
-  using Handler = void (*)(int);
-  Handler old_sigint_handler_;
-  Handler old_sigterm_handler_;
-};
-
 std::string Format(const char* format, double value) {
   std::array<char, 96> text{};
   std::snprintf(text.data(), text.size(), format, value);
@@ -211,7 +188,7 @@
 
 void ScenarioRun::WaitUntil(const std::function<bool()>& is_done) {
   const auto is_done_or_interrupted = [&] {
-    if (interrupted != 0) throw std::runtime_error("interrupted by a signal");
+    ThrowIfInterrupted();
     return is_done();
   };
   // RunUntil() returns false after a time limit of its own.
--- a/src/fault_injection/scenario_runner.h
+++ b/src/fault_injection/scenario_runner.h
@@ -7,20 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "fault_injection/check_result.h"
 #include "fault_injection/scenario.h"
 
 namespace zinclead::fault_injection {
 
-// kNotChecked: the scenario gave nothing to check the property on.
-enum class Outcome : uint8_t { kHeld, kBroken, kNotChecked };
-
-// The result of one check.
-struct CheckResult {
-  std::string property;  // the statement that must hold
-  Outcome outcome = Outcome::kNotChecked;
-  std::string evidence;  // figures, or the first violation
-};
-
 struct RunOptions {
   std::string program;  // path of zinclead
   uint64_t seed = 1;    // determines the controller that gets the first submission of each job
