Soak test: unused member and includes removed

Change: the users need no event loop; includes are complete. Measured: builds, lint of these files clean but for one text.

--- a/src/fault_injection/soak_runner.cc
+++ b/src/fault_injection/soak_runner.cc
@@ -1,9 +1,9 @@
 #include "fault_injection/soak_runner.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -136,7 +136,7 @@
   load_balancer_ = std::make_unique<LoadBalancer>(
       &loop_, ports, [this](size_t node) { return IsActive(Kind::kCutFromUsers, node); });
   users_ = std::make_unique<SoakUsers>(
-      &loop_, load_balancer_.get(), plan_.jobs, options_.seed,
+      load_balancer_.get(), plan_.jobs, options_.seed,
       [this](HistoryEvent event) { history_.push_back(std::move(event)); });
 }
 
--- a/src/fault_injection/soak_users.cc
+++ b/src/fault_injection/soak_users.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "net/event_loop.h"
 #include "wire/wire.h"
 
 namespace zinclead::fault_injection {
@@ -36,10 +37,10 @@
 
 }  // namespace
 
-SoakUsers::SoakUsers(net::EventLoop* loop, LoadBalancer* load_balancer,
+SoakUsers::SoakUsers(LoadBalancer* load_balancer,
                      const std::vector<SoakJob>& jobs, uint64_t seed,
                      std::function<void(HistoryEvent)> record)
-    : loop_(loop), load_balancer_(load_balancer), random_(seed), record_(std::move(record)) {
+    : load_balancer_(load_balancer), random_(seed), record_(std::move(record)) {
   jobs_.reserve(jobs.size());
   for (const SoakJob& job : jobs) jobs_.push_back({.job = &job});
 }
--- a/src/fault_injection/soak_users.h
+++ b/src/fault_injection/soak_users.h
@@ -15,7 +15,7 @@
 #include "fault_injection/history.h"
 #include "fault_injection/load_balancer.h"
 #include "fault_injection/soak_plan.h"
-#include "net/event_loop.h"
+#include "net/http_message.h"
 
 namespace zinclead::fault_injection {
 
@@ -27,7 +27,7 @@
   using StatusCounts = std::map<int, int>;
 
   // `record` adds an event to the history. All references must outlive the users.
-  SoakUsers(net::EventLoop* loop, LoadBalancer* load_balancer, const std::vector<SoakJob>& jobs,
+  SoakUsers(LoadBalancer* load_balancer, const std::vector<SoakJob>& jobs,
             uint64_t seed, std::function<void(HistoryEvent)> record);
 
   // Sends whatever is due. `now` and `start`, the start of the run: seconds on the steady clock.
@@ -65,7 +65,6 @@
             std::function<void(const net::Response&)> done);
   double Random();
 
-  net::EventLoop* const loop_;
   LoadBalancer* const load_balancer_;
   std::vector<JobState> jobs_;
   std::mt19937_64 random_;
--- a/src/fault_injection/tcp_relay.cc
+++ b/src/fault_injection/tcp_relay.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 namespace zinclead::fault_injection {
 namespace {
