Followers' questions to the leader have connections and a queue of their own

Cause: retry without a bound into a queue shared by unlike calls. A worker whose leader is slow returns to a follower, which forwards its heartbeat. A full queue fails at once, so the worker is back a second later: some 600 heartbeats a second and follower, against a queue of 64 calls that questions shared (trace: 2,500 to 3,500 heartbeats and 400 of 500 questions refused in 5 s). A call that found the queue full also counted as a failure of the leader, which takes the follower out of the load balancer.

Change: two pools of connections per peer, one for heartbeats, one for the rest; a call that isn't sent doesn't count.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -68,6 +68,12 @@
   }
 }
 
+bool HttpClient::IsFull() const {
+  return queue_.size() >= max_queued_calls_ &&
+         std::all_of(connections_.begin(), connections_.end(),
+                     [](const auto& connection) { return connection->is_busy; });
+}
+
 void HttpClient::Call(const std::string& method, std::string path, std::string body,
                       double timeout_s, Callback done) {
   PendingCall call{method, std::move(path), std::move(body), SteadyNow() + timeout_s,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -22,9 +22,10 @@
 class HttpClient {
  public:
   using Callback = std::function<void(Response)>;
-  // `host` is an IPv4 address. A call fails immediately if all `max_connections` connections are in
-  // use and `max_queued_calls` calls are waiting. A response whose body exceeds
-  // `max_response_bytes` is reported as status 0. `loop` must outlive the client.
+  // `host` is an IPv4 address. A call fails immediately while the client is full: all
+  // `max_connections` connections are in use and `max_queued_calls` calls are waiting. A response
+  // whose body exceeds `max_response_bytes` is reported as status 0. `loop` must outlive the
+  // client.
   HttpClient(EventLoop* loop, std::string host, uint16_t port, size_t max_connections,
              size_t max_queued_calls, size_t max_response_bytes,
              EventPriority priority = EventPriority::kNormal);
@@ -39,6 +40,9 @@
   void Call(const std::string& method, std::string path, std::string body, double timeout_s,
             Callback done);
 
+  // Whether a call would fail now without being sent.
+  [[nodiscard]] bool IsFull() const;
+
  private:
   struct Connection;
   struct PendingCall {
--- a/src/service/leader_forwarder.cc
+++ b/src/service/leader_forwarder.cc
@@ -27,10 +27,12 @@
   const std::string& leader = elector_->leader();
   if (!peers_->Has(leader)) return reply(ServiceUnavailable("no leader"));
   request.term = elector_->leader_term();
+  const PeerTraffic traffic = request.path == wire::kHeartbeatPath ? PeerTraffic::kHeartbeats
+                                                                   : PeerTraffic::kControlAndUsers;
   // The body comes from a client and may contain invalid UTF-8, on which dump() would throw.
   std::string body = ToJson(request).dump(-1, ' ', false, wire::Json::error_handler_t::replace);
   peers_->Call(leader, wire::kPeerForwardPath, std::move(body),
-               kMaxForwardShareOfClientTimeout * client_timeout_s,
+               kMaxForwardShareOfClientTimeout * client_timeout_s, traffic,
                [this, reply](const net::Response& response) { OnResponse(response, reply); });
 }
 
--- a/src/service/peer_client.cc
+++ b/src/service/peer_client.cc
@@ -8,9 +8,10 @@
 namespace zinclead::service {
 namespace {
 
+// For each kind of traffic.
 constexpr double kSocketShareForPeers = 0.02;
-constexpr size_t kMinConnectionsPerPeer = 2;
-constexpr size_t kMaxQueuedCallsPerPeer = 64;
+constexpr size_t kMinConnections = 2;
+constexpr size_t kMaxQueuedCalls = 64;
 constexpr size_t kMaxResponseBytes = 8 * wire::kMaxBodyBytes;
 // A call that fails after at least this share of its timeout has timed out; a call that fails
 // earlier was refused.
@@ -18,35 +19,47 @@
 
 }  // namespace
 
-PeerClient::PeerClient(net::EventLoop* loop, const config::Settings& settings) {
-  const size_t connections_per_peer = settings.PoolSize(
-      kSocketShareForPeers / static_cast<double>(settings.NodeCount()), kMinConnectionsPerPeer);
+PeerClient::PeerClient(net::EventLoop* loop, const config::Settings& settings) : loop_(loop) {
+  const size_t connections = settings.PoolSize(
+      kSocketShareForPeers / static_cast<double>(settings.NodeCount()), kMinConnections);
+  const auto make_client = [&](const config::Endpoint& address) {
+    return std::make_unique<net::HttpClient>(loop, address.host, address.port, connections,
+                                             kMaxQueuedCalls, kMaxResponseBytes,
+                                             net::EventPriority::kHigh);
+  };
   for (const config::Peer& peer : settings.peers) {
     failure_detector_.Add(peer.node);
-    links_[peer.node].client = std::make_unique<net::HttpClient>(
-        loop, peer.address.host, peer.address.port, connections_per_peer, kMaxQueuedCallsPerPeer,
-        kMaxResponseBytes, net::EventPriority::kHigh);
+    links_[peer.node].control_and_users = make_client(peer.address);
+    links_[peer.node].heartbeats = make_client(peer.address);
   }
 }
 
 void PeerClient::Call(const std::string& peer, std::string_view path, std::string body,
-                      double timeout_s, net::HttpClient::Callback on_response) {
+                      double timeout_s, PeerTraffic traffic,
+                      net::HttpClient::Callback on_response) {
+  const PeerLink& link = links_.at(peer);
+  net::HttpClient* const client =
+      traffic == PeerTraffic::kHeartbeats ? link.heartbeats.get() : link.control_and_users.get();
+  // A call that isn't sent says nothing about the peer.
+  if (client->IsFull()) {
+    loop_->Post([on_response = std::move(on_response)] { on_response({}); });
+    return;
+  }
   const double called_at = net::SteadyNow();
-  links_.at(peer).client->Call(
-      "POST", std::string(path), std::move(body), timeout_s,
-      [this, peer, called_at, timeout_s,
-       on_response = std::move(on_response)](net::Response response) {
-        if (response.status != 0) {
-          failure_detector_.OnResponse(peer);
-        } else {
-          const bool timed_out =
-              net::SteadyNow() - called_at >= kMinElapsedTimeoutShare * timeout_s;
-          failure_detector_.OnFailure(peer, called_at,
-                                      timed_out ? PeerFailureDetector::Failure::kTimeout
-                                                : PeerFailureDetector::Failure::kRefused);
-        }
-        on_response(std::move(response));
-      });
+  client->Call("POST", std::string(path), std::move(body), timeout_s,
+               [this, peer, called_at, timeout_s,
+                on_response = std::move(on_response)](net::Response response) {
+                 if (response.status != 0) {
+                   failure_detector_.OnResponse(peer);
+                 } else {
+                   const bool timed_out =
+                       net::SteadyNow() - called_at >= kMinElapsedTimeoutShare * timeout_s;
+                   failure_detector_.OnFailure(peer, called_at,
+                                               timed_out ? PeerFailureDetector::Failure::kTimeout
+                                                         : PeerFailureDetector::Failure::kRefused);
+                 }
+                 on_response(std::move(response));
+               });
 }
 
 void PeerClient::Announce(const wire::LeaderAnnouncement& announcement, double timeout_s,
@@ -54,7 +67,7 @@
   const std::string body = ToJson(announcement).dump();
   for (auto& [name, link] : links_) {
     if (std::exchange(link.announcement_in_flight, true)) continue;
-    Call(name, wire::kPeerLeaderPath, body, timeout_s,
+    Call(name, wire::kPeerLeaderPath, body, timeout_s, PeerTraffic::kControlAndUsers,
          [peer = name, link = &link, on_response](const net::Response& response) {
            link->announcement_in_flight = false;
            if (response.status != 200) return;
--- a/src/service/peer_client.h
+++ b/src/service/peer_client.h
@@ -16,6 +16,13 @@
 
 namespace zinclead::service {
 
+// Calls of different kinds use different connections and queues, so that many slow calls of one
+// kind don't delay the other.
+enum class PeerTraffic {
+  kControlAndUsers,  // announcements and users' requests
+  kHeartbeats,       // forwarded heartbeats of workers
+};
+
 // All methods run on the I/O thread. `loop` must outlive the client.
 class PeerClient {
  public:
@@ -27,9 +34,9 @@
   [[nodiscard]] const PeerFailureDetector& failure_detector() const { return failure_detector_; }
 
   // Sends `body` to `peer` with POST. Requires Has(peer). `on_response` runs later, with status 0
-  // if no response arrived within `timeout_s`.
+  // if no response arrived within `timeout_s`, or if too many calls of this kind are waiting.
   void Call(const std::string& peer, std::string_view path, std::string body, double timeout_s,
-            net::HttpClient::Callback on_response);
+            PeerTraffic traffic, net::HttpClient::Callback on_response);
 
   // Sends `announcement` to each peer, except to those whose previous announcement is still in
   // flight. `on_response` receives the announcement that each peer returns within `timeout_s`.
@@ -40,10 +47,12 @@
 
  private:
   struct PeerLink {
-    std::unique_ptr<net::HttpClient> client;
+    std::unique_ptr<net::HttpClient> control_and_users;
+    std::unique_ptr<net::HttpClient> heartbeats;
     bool announcement_in_flight = false;
   };
 
+  net::EventLoop* const loop_;
   std::map<std::string, PeerLink> links_;  // by peer name; no entry is added or removed later
   PeerFailureDetector failure_detector_;
 };
