Soak test: says how a controller ended, and can observe for longer

Need: a controller that ended by itself was only named, and a rule that breaks late after the faults went unseen.

--- a/src/fault_injection/controller_processes.cc
+++ b/src/fault_injection/controller_processes.cc
@@ -44,6 +44,7 @@
     : options_(std::move(options)),
       ports_(FindFreePorts(loop, 2 * options_.count)),
       pids_(options_.count, 0),
+      end_reasons_(options_.count),
       cpu_share_limiter_(options_.are_limits_enforced ? options_.core_share : 1) {}
 
 ControllerProcesses::~ControllerProcesses() {
@@ -116,7 +117,10 @@
 
 bool ControllerProcesses::IsRunning(size_t index) {
   if (pids_[index] == 0) return false;
-  if (waitpid(pids_[index], nullptr, WNOHANG) == 0) return true;
+  int status = 0;
+  if (waitpid(pids_[index], &status, WNOHANG) == 0) return true;
+  end_reasons_[index] = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                            : "code " + std::to_string(WEXITSTATUS(status));
   cpu_share_limiter_.Remove(pids_[index]);
   pids_[index] = 0;
   return false;
--- a/src/fault_injection/controller_processes.h
+++ b/src/fault_injection/controller_processes.h
@@ -73,6 +73,8 @@
   size_t count() const { return options_.count; }
   // Whether the process has been started and has not ended; a paused process is running.
   bool IsRunning(size_t index);
+  // How the process ended by itself, for example "signal 11"; empty if it did not.
+  const std::string& end_reason(size_t index) const { return end_reasons_[index]; }
   std::string SettingsPath(size_t index) const;
   // 0: not running.
   pid_t pid(size_t index) const { return pids_[index]; }
@@ -91,6 +93,7 @@
   const ControllerOptions options_;
   std::vector<uint16_t> ports_;  // listening ports of all controllers, then their peer ports
   std::vector<pid_t> pids_;      // 0: not running
+  std::vector<std::string> end_reasons_;
   uint16_t cloud_port_ = 0;
   uint16_t state_port_ = 0;
   std::map<size_t, uint16_t> state_port_by_node_;
--- a/src/fault_injection/soak_plan.h
+++ b/src/fault_injection/soak_plan.h
@@ -55,8 +55,10 @@
   int sockets = 1000;
   double state_rps = 150;
   double write_rps = 50;
-  double warm_up_s = 15;             // before the first fault
-  double fault_phase_s = 30;         // no fault begins later
+  double warm_up_s = 15;      // before the first fault
+  double fault_phase_s = 30;  // no fault begins later
+  // After the last fault; longer than the 75 s within which questions must be answered.
+  double observation_s = 80;
   std::vector<SoakFaultKind> kinds;  // that are drawn; empty: all
 };
 
--- a/src/fault_injection/soak_runner.cc
+++ b/src/fault_injection/soak_runner.cc
@@ -36,10 +36,7 @@
 constexpr double kLateCopyShare = 0.3;
 // Times a worker's lease: the latest copy of a heartbeat.
 constexpr double kMaxLateCopyInLeases = 1.2;
-// The last fault has ended this long before the time in which all questions must be answered, for
-// late copies to arrive.
 constexpr double kTimelineIntervalS = 5;
-constexpr double kObservationMarginS = 5;
 constexpr const char* kLeaderKey = "zinclead/leader";
 
 wire::MachineType SoakMachineType() {
@@ -370,7 +367,8 @@
 CheckResult SoakRun::CheckProcesses() {
   std::string ended;
   for (size_t node = 0; node < options_.nodes; ++node) {
-    if (!controllers_.IsRunning(node)) ended += " " + ControllerProcesses::NodeName(node);
+    if (controllers_.IsRunning(node)) continue;
+    ended += " " + ControllerProcesses::NodeName(node) + " with " + controllers_.end_reason(node);
   }
   return {"no controller exited unexpectedly", ended.empty() ? Outcome::kHeld : Outcome::kBroken,
           ended.empty() ? "all are running" : "exited:" + ended};
@@ -392,7 +390,7 @@
   }
   RunUntilTime(faults_end);
   history_.push_back({net::SteadyNow(), FaultsEnded{}});
-  RunUntilTime(net::SteadyNow() + rules.max_unanswered_s + kObservationMarginS);
+  RunUntilTime(net::SteadyNow() + options_.observation_s);
   std::vector<CheckResult> results = CheckHistory(history_, rules);
   results.push_back(CheckProcesses());
   return results;
--- a/src/fault_injection/soak_users.cc
+++ b/src/fault_injection/soak_users.cc
@@ -37,8 +37,7 @@
 
 }  // namespace
 
-SoakUsers::SoakUsers(LoadBalancer* load_balancer,
-                     const std::vector<SoakJob>& jobs, uint64_t seed,
+SoakUsers::SoakUsers(LoadBalancer* load_balancer, const std::vector<SoakJob>& jobs, uint64_t seed,
                      std::function<void(HistoryEvent)> record)
     : load_balancer_(load_balancer), random_(seed), record_(std::move(record)) {
   jobs_.reserve(jobs.size());
--- a/src/fault_injection/soak_users.h
+++ b/src/fault_injection/soak_users.h
@@ -27,8 +27,8 @@
   using StatusCounts = std::map<int, int>;
 
   // `record` adds an event to the history. All references must outlive the users.
-  SoakUsers(LoadBalancer* load_balancer, const std::vector<SoakJob>& jobs,
-            uint64_t seed, std::function<void(HistoryEvent)> record);
+  SoakUsers(LoadBalancer* load_balancer, const std::vector<SoakJob>& jobs, uint64_t seed,
+            std::function<void(HistoryEvent)> record);
 
   // Sends whatever is due. `now` and `start`, the start of the run: seconds on the steady clock.
   void SendDue(double now, double start);
