New connections of peers don't wait behind workers' requests

Cause: an unfair queue, in a second place: the peer server has high priority, but only from the first request of a connection on. Accepting it and reading its first request waited among the requests of all workers, longer than the timeout of 1.5 s of a forwarded question. The follower then closed the connection and opened the next one, which waited as long.

Change: the peer server's listener and its new connections have high priority from the start. Measured: the new test runs 400 of 400 events before the response without the change, under half of them with it.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -137,6 +137,50 @@
                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
                                        EVHTTP_REQ_PATCH);
   evhttp_set_gencb(http, &HttpServer::OnRequest, this);
+  if (priority_ != EventPriority::kHigh) return;
+  // NOLINTNEXTLINE(google-runtime-int)
+  const event_callback_fn prioritize = [](evutil_socket_t, short, void* server) {
+    static_cast<HttpServer*>(server)->PrioritizeNewConnections();
+  };
+  new_connections_event_.reset(event_new(loop_->base(), -1, EV_PERSIST, prioritize, this));
+  event_priority_set(new_connections_event_.get(), static_cast<int>(priority_));
+  evhttp_set_bevcb(http, &HttpServer::OnConnectionAccepted, this);
+}
+
+// evhttp gives the connection normal priority after this call. The event runs before the loop polls
+// the connection, as the priority of an event can't be changed once it is active.
+bufferevent* HttpServer::OnConnectionAccepted(event_base* base, void* server) {
+  auto* self = static_cast<HttpServer*>(server);
+  bufferevent* connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  if (connection == nullptr) return nullptr;
+  bufferevent_incref(connection);
+  self->new_connections_.push_back(connection);
+  event_active(self->new_connections_event_.get(), EV_TIMEOUT, 0);
+  return connection;
+}
+
+void HttpServer::PrioritizeNewConnections() {
+  for (bufferevent* connection : std::exchange(new_connections_, {})) {
+    bufferevent_priority_set(connection, static_cast<int>(priority_));
+    bufferevent_decref(connection);
+  }
+}
+
+// libevent offers no direct access to the event of a listener.
+void HttpServer::PrioritizeListener(evutil_socket_t socket) {
+  struct Target {
+    evutil_socket_t socket;
+    int priority;
+  } target{socket, static_cast<int>(priority_)};
+  event_base_foreach_event(
+      loop_->base(),
+      [](const event_base*, const event* candidate, void* argument) {
+        const auto* wanted = static_cast<const Target*>(argument);
+        if (event_get_fd(candidate) != wanted->socket) return 0;
+        event_priority_set(const_cast<event*>(candidate), wanted->priority);
+        return 1;
+      },
+      &target);
 }
 
 void HttpServer::Listen(const std::string& host, uint16_t port, int backlog) {
@@ -151,6 +195,7 @@
         "http server: cannot set the listen backlog; using the default: backlog={} port={}",
         backlog, port);
   }
+  if (priority_ == EventPriority::kHigh) PrioritizeListener(socket);
   port_ = BoundPort(socket);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "net/event_loop.h"
 #include "net/http_message.h"
@@ -69,8 +70,11 @@
  private:
   static void OnRequest(evhttp_request* request, void* server);
   static void OnConnectionClosed(evhttp_connection* connection, void* server);
+  static bufferevent* OnConnectionAccepted(event_base* base, void* server);
   void Configure(const Limits& limits);
   void Listen(const std::string& host, uint16_t port, int backlog);
+  void PrioritizeListener(evutil_socket_t socket);
+  void PrioritizeNewConnections();
   void Handle(evhttp_request* request);
   // Returns false if the connection must be closed after the response.
   bool TryKeepOpen(evhttp_connection* connection);
@@ -81,8 +85,11 @@
   const Handler handler_;
   uint16_t port_ = 0;
   std::unordered_set<evhttp_connection*> persistent_connections_;
-  // Last member, destroyed first: closing its connections modifies persistent_connections_.
+  // Accepted connections that still have normal priority. Each holds a reference.
+  std::vector<bufferevent*> new_connections_;
+  // Destroyed before the members above: closing its connections modifies persistent_connections_.
   HttpServerPtr http_;
+  EventPtr new_connections_event_;  // runs PrioritizeNewConnections
 };
 
 }  // namespace zinclead::net
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <thread>
 #include <utility>
@@ -98,6 +99,41 @@
   EXPECT_LT(events_run_at_response, kEvents / 2);
 }
 
+// A peer that lost its connection to a busy leader must be able to open a new one.
+TEST(EventLoop, NewConnectionToAHighPriorityServerDoesNotWaitForNormalEvents) {
+  constexpr int kEvents = 400;
+  net::EventLoop server_loop;
+  net::HttpServer::Limits limits{1024, 8, 128, 60};
+  limits.priority = net::EventPriority::kHigh;
+  net::HttpServer server(&server_loop, "127.0.0.1", 0, limits,
+                         [](const net::ServerRequest&, const net::ResponderPtr& responder) {
+                           responder->Send({200, 0, "{}"});
+                         });
+  std::atomic<int> events_run = 0;
+  std::vector<std::unique_ptr<net::EventLoop::Timer>> events;
+  for (int i = 0; i < kEvents; ++i) {
+    events.push_back(std::make_unique<net::EventLoop::Timer>());
+    server_loop.StartTimer(events.back().get(), 0, [&] {
+      ++events_run;
+      usleep(1000);
+    });
+  }
+  std::thread server_thread([&] { server_loop.Run(); });
+  net::EventLoop client_loop;
+  EXPECT_TRUE(RunUntil(&client_loop, [&] { return events_run > 0; }));
+  net::HttpClient client(&client_loop, "127.0.0.1", server.port(), 1, 1, 1024);
+  int events_run_at_response = kEvents;
+  bool has_response = false;
+  client.Call("GET", "/", "", 30, [&](const net::Response&) {
+    events_run_at_response = events_run;
+    has_response = true;
+  });
+  EXPECT_TRUE(RunUntil(&client_loop, [&] { return has_response; }));
+  server_loop.Post([&] { server_loop.Stop(); });
+  server_thread.join();
+  EXPECT_LT(events_run_at_response, kEvents / 2);
+}
+
 // The kernel throttles a node with a small CPU share after a long burst of requests, which delays
 // events of high priority by the length of the burst.
 TEST(EventLoop, PausesWhenTheRequestLimitOfAnIterationIsReached) {
