Log lines: status of a node, changes of its health, requests that wait too long

Need: the report of unanswered jobs came without logs, and the existing lines can't tell where questions stop. Change: once per worker lease each node logs leader, term, lease, health, delay of the event loop, connections, and requests by sender and response with the reasons of refusals; each change of health with what caused it; an error with a counter when requests wait longer than their senders do.

--- a/src/service/node.cc
+++ b/src/service/node.cc
@@ -45,6 +45,7 @@
       announcer_(&loop_, settings_.node, &elector_, &peers_, &leader_),
       forwarder_(&peers_, &elector_, admission_limits_,
                  kCreditGrantLifetimeInAnnouncements * announcer_.interval_s()),
+      status_log_(&loop_, settings_.lease_s, [this] { return CurrentState(); }),
       router_({.settings = &settings_,
                .admission_limits = &admission_limits_,
                .elector = &elector_,
@@ -52,6 +53,7 @@
                .forwarder = &forwarder_,
                .announcer = &announcer_,
                .leader = &leader_,
+               .status_log = &status_log_,
                .get_health = [this] { return CurrentHealth(); }}),
       public_server_(MakePublicServer()),
       peer_server_(MakePeerServer()) {
@@ -97,6 +99,7 @@
 
 void Node::Run() {
   scheduler_thread_.Start();
+  status_log_.Start();
   elector_.Start();
   announcer_.Announce();
   loop_.Run();
@@ -123,6 +126,14 @@
   });
 }
 
+NodeStatusLog::NodeState Node::CurrentState() const {
+  return {.leader = elector_.leader(),
+          .term = elector_.leader_term(),
+          .health = CurrentHealth(),
+          .public_connections = public_server_->persistent_connections(),
+          .peer_connections = peer_server_->persistent_connections()};
+}
+
 NodeHealth Node::CurrentHealth() const {
   const double now = net::SteadyNow();
   const double peer_timeout_s = kPeerTimeoutInLeases * elector_.lease_s();
--- a/src/service/node.h
+++ b/src/service/node.h
@@ -17,6 +17,7 @@
 #include "service/leader_announcer.h"
 #include "service/leader_forwarder.h"
 #include "service/node_health.h"
+#include "service/node_status_log.h"
 #include "service/peer_client.h"
 #include "service/request_router.h"
 #include "service/scheduler_thread.h"
@@ -44,6 +45,7 @@
   // Posts the decisions of a scheduling cycle to the leader. Runs on the scheduler thread.
   void OnCycleDone(uint64_t term, core::CloudActions actions);
   [[nodiscard]] NodeHealth CurrentHealth() const;
+  [[nodiscard]] NodeStatusLog::NodeState CurrentState() const;
 
   const config::Settings settings_;
   const config::OperatorSettings operator_settings_;
@@ -58,6 +60,7 @@
   std::unique_ptr<Leader> leader_;  // null while this node does not lead
   LeaderAnnouncer announcer_;
   LeaderForwarder forwarder_;
+  NodeStatusLog status_log_;
   RequestRouter router_;
   const std::unique_ptr<net::HttpServer> public_server_;
   const std::unique_ptr<net::HttpServer> peer_server_;
--- a/src/service/request_router.cc
+++ b/src/service/request_router.cc
@@ -16,9 +16,20 @@
 
 void RequestRouter::OnPublicRequest(const net::ServerRequest& request,
                                     const net::ResponderPtr& responder) {
-  if (request.path == wire::kHealthPath) return responder->Send(OnHealthCheck(request.method));
-  const Reply reply = [responder](const net::Response& response) { responder->Send(response); };
-  if (request.path != wire::kHeartbeatPath) return OnUserRequest(request, Origin::kClient, reply);
+  const auto reply_to = [this, &responder](RequestKind kind) -> Reply {
+    return [counters = &dependencies_.status_log->counters(), kind,
+            responder](const net::Response& response) {
+      counters->Count(kind, response);
+      responder->Send(response);
+    };
+  };
+  if (request.path == wire::kHealthPath) {
+    return reply_to(RequestKind::kHealthCheck)(OnHealthCheck(request.method));
+  }
+  if (request.path != wire::kHeartbeatPath) {
+    return OnUserRequest(request, Origin::kClient, reply_to(RequestKind::kUserRequest));
+  }
+  const Reply reply = reply_to(RequestKind::kHeartbeat);
   if (request.method != "POST") return reply(MethodNotAllowed());
   OnHeartbeat(request.body, Origin::kClient, reply);
 }
@@ -35,7 +46,9 @@
 
 net::Response RequestRouter::OnHealthCheck(const std::string& method) {
   if (method != "GET") return MethodNotAllowed();
-  if (!IsHealthy(dependencies_.get_health())) {
+  const NodeHealth health = dependencies_.get_health();
+  dependencies_.status_log->OnHealthCheck(health);
+  if (!IsHealthy(health)) {
     return ServiceUnavailable("this node can't serve now");
   }
   return {200, 0, "{}"};
@@ -54,7 +67,12 @@
   auto forwarded = wire::ParseForwardedRequest(body);
   if (!forwarded) return responder->Send(BadRequest("malformed call"));
   dependencies_.elector->OnTermSeen(forwarded->term);
-  const Reply reply = [elector = dependencies_.elector, responder](const net::Response& response) {
+  const RequestKind kind = forwarded->path == wire::kHeartbeatPath
+                               ? RequestKind::kForwardedHeartbeat
+                               : RequestKind::kForwardedUserRequest;
+  const Reply reply = [counters = &dependencies_.status_log->counters(), kind,
+                       elector = dependencies_.elector, responder](const net::Response& response) {
+    counters->Count(kind, response);
     const wire::ForwardedResponse forwarded_response{response.status, response.retry_after_s,
                                                      response.body, elector->leader_term()};
     responder->Send({200, 0, ToJson(forwarded_response).dump()});
--- a/src/service/request_router.h
+++ b/src/service/request_router.h
@@ -16,6 +16,7 @@
 #include "service/leader_announcer.h"
 #include "service/leader_forwarder.h"
 #include "service/node_health.h"
+#include "service/node_status_log.h"
 #include "service/peer_client.h"
 #include "service/responses.h"
 #include "service/user_request.h"
@@ -37,6 +38,7 @@
     LeaderAnnouncer* announcer = nullptr;
     // Points to null while this node does not lead.
     const std::unique_ptr<Leader>* leader = nullptr;
+    NodeStatusLog* status_log = nullptr;
     // Returns the current health of this node.
     std::function<NodeHealth()> get_health;
   };
