--- a/src/app/soak_main.cc
+++ b/src/app/soak_main.cc
@@ -53,7 +53,7 @@
   app->add_option("--write-rps", soak.write_rps, "writes per second of the state service");
   app->add_option("--warm-up-s", soak.warm_up_s, "time before the first fault");
   app->add_option("--observation-s", soak.observation_s, "time after the last fault")
-      ->check(CLI::Range(80.0, 3600.0));
+      ->check(CLI::Range(76.0, 3600.0));
   app->add_option("--fault-phase-s", soak.fault_phase_s, "time in which faults begin");
 }
 
--- a/src/fault_injection/soak_plan.h
+++ b/src/fault_injection/soak_plan.h
@@ -58,7 +58,7 @@
   double warm_up_s = 15;      // before the first fault
   double fault_phase_s = 30;  // no fault begins later
   // After the last fault; longer than the 75 s within which questions must be answered.
-  double observation_s = 80;
+  double observation_s = 90;
   std::vector<SoakFaultKind> kinds;  // that are drawn; empty: all
 };
 
--- a/src/fault_injection/soak_runner.cc
+++ b/src/fault_injection/soak_runner.cc
@@ -37,6 +37,8 @@
 // Times a worker's lease: the latest copy of a heartbeat.
 constexpr double kMaxLateCopyInLeases = 1.2;
 constexpr double kTimelineIntervalS = 5;
+constexpr const char* kStatusLine = "node: status:";
+constexpr const char* kLateRequestsLine = "node: requests wait longer than their senders";
 constexpr const char* kLeaderKey = "zinclead/leader";
 
 wire::MachineType SoakMachineType() {
@@ -66,6 +68,9 @@
     std::function<void()> action;
   };
 
+  [[nodiscard]] std::string LogPath(size_t node) const {
+    return log_dir_ + "/" + ControllerProcesses::NodeName(node) + ".log";
+  }
   [[nodiscard]] ControllerOptions MakeControllerOptions(const SoakRunOptions& run_options) const;
   [[nodiscard]] double TeamCpuLimit() const;
   void MakeRelays();
@@ -84,9 +89,13 @@
   void RunUntilTime(double end);
   void WriteTimeline(double now);
   [[nodiscard]] CheckResult CheckProcesses();
+  void SkipLogs();
+  [[nodiscard]] CheckResult CheckLogs() const;
 
   const SoakOptions options_;
   const SoakPlan plan_;
+  const std::string log_dir_;
+  std::vector<std::streamoff> checked_from_;  // by node: position in its log
   std::map<std::string, const SoakJob*> jobs_by_id_;
   std::vector<HistoryEvent> history_;
   std::ofstream timeline_;
@@ -112,6 +121,7 @@
                  const SoakRunOptions& run_options)
     : options_(options),
       plan_(plan),
+      log_dir_(run_options.log_dir),
       timeline_(run_options.log_dir + "/timeline.log"),
       random_(options.seed),
       store_(&loop_),
@@ -374,6 +384,32 @@
           ended.empty() ? "all are running" : "exited:" + ended};
 }
 
+// CheckLogs ignores what the logs contain now.
+void SoakRun::SkipLogs() {
+  for (size_t node = 0; node < options_.nodes; ++node) {
+    std::ifstream log(LogPath(node), std::ios::ate);
+    checked_from_.push_back(std::max<std::streamoff>(0, log.tellg()));
+  }
+}
+
+CheckResult SoakRun::CheckLogs() const {
+  CheckResult result{"controllers keep up with their requests", Outcome::kNotChecked, ""};
+  size_t status_lines = 0;
+  for (size_t node = 0; node < options_.nodes; ++node) {
+    std::ifstream log(LogPath(node));
+    log.seekg(checked_from_[node]);
+    for (std::string line; std::getline(log, line);) {
+      status_lines += line.find(kStatusLine) == std::string::npos ? 0 : 1;
+      if (line.find(kLateRequestsLine) == std::string::npos) continue;
+      return {result.property, Outcome::kBroken,
+              ControllerProcesses::NodeName(node) + " logs: " + line};
+    }
+  }
+  if (status_lines > 0) result.outcome = Outcome::kHeld;
+  result.evidence = std::to_string(status_lines) + " status lines checked";
+  return result;
+}
+
 std::vector<CheckResult> SoakRun::Run() {
   start_ = net::SteadyNow();
   const double faults_start = start_ + options_.warm_up_s;
@@ -390,8 +426,12 @@
   }
   RunUntilTime(faults_end);
   history_.push_back({net::SteadyNow(), FaultsEnded{}});
-  RunUntilTime(net::SteadyNow() + options_.observation_s);
+  const double observation_start = net::SteadyNow();
+  RunUntilTime(observation_start + rules.max_unanswered_s);
+  SkipLogs();
+  RunUntilTime(observation_start + options_.observation_s);
   std::vector<CheckResult> results = CheckHistory(history_, rules);
+  results.push_back(CheckLogs());
   results.push_back(CheckProcesses());
   return results;
 }
