--- a/src/fault_injection/fakes/fake_worker.cc
+++ b/src/fault_injection/fakes/fake_worker.cc
@@ -1,6 +1,7 @@
 #include "fault_injection/fakes/fake_worker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace zinclead::fault_injection {
@@ -39,6 +40,7 @@
   }
   identity_.agent_epoch = 1;
   lease_valid_until_ = net::SteadyNow() + behavior_.lease_s;
+  StartLeaseTimer();
   SendHeartbeat();
 }
 
@@ -63,22 +65,22 @@
     heartbeat.tasks.push_back(
         {*wire::ParseTaskName(name.first), name.second, task.phase, task.cause, false});
   }
-  const double sent_at = net::SteadyNow();
+  const SentHeartbeat sent{net::SteadyNow(), identity_.agent_epoch};
   const std::string& controller = controllers_[current_controller_];
   const WorkerLink link = behavior_.link ? behavior_.link(controller) : WorkerLink::kUp;
   if (link == WorkerLink::kCut) {
     client_.reset();
     loop_->StartTimer(&timer_, wire::kHeartbeatTimeoutS,
-                      [this, sent_at] { OnResponse(net::Response{}, sent_at); });
+                      [this, sent] { OnResponse(net::Response{}, sent); });
     return;
   }
   const std::string body = ToJson(heartbeat).dump();
   SendLateCopy(body);
   CurrentClient()->Call("POST", std::string(wire::kHeartbeatPath), body, wire::kHeartbeatTimeoutS,
-                        [this, sent_at, controller](const net::Response& response) {
+                        [this, sent, controller](const net::Response& response) {
                           const bool is_lost =
                               behavior_.link && behavior_.link(controller) != WorkerLink::kUp;
-                          OnResponse(is_lost ? net::Response{} : response, sent_at);
+                          OnResponse(is_lost ? net::Response{} : response, sent);
                         });
 }
 
@@ -108,6 +110,14 @@
   }
 }
 
+void FakeWorker::StartLeaseTimer() {
+  if (!std::isfinite(lease_valid_until_)) return;
+  loop_->StartTimer(&lease_timer_, lease_valid_until_ - net::SteadyNow(), [this] {
+    ExpireLease();
+    StartLeaseTimer();
+  });
+}
+
 void FakeWorker::ExpireLease() {
   const double now = net::SteadyNow();
   if (now < lease_valid_until_) return;
@@ -125,12 +135,12 @@
   }
 }
 
-void FakeWorker::OnResponse(const net::Response& response, double sent_at) {
-  const double delay_s = HandleResponse(response, sent_at);
+void FakeWorker::OnResponse(const net::Response& response, const SentHeartbeat& sent) {
+  const double delay_s = HandleResponse(response, sent);
   loop_->StartTimer(&timer_, delay_s, [this] { SendHeartbeat(); });
 }
 
-double FakeWorker::HandleResponse(const net::Response& response, double sent_at) {
+double FakeWorker::HandleResponse(const net::Response& response, const SentHeartbeat& sent) {
   const Json body = Json::parse(response.body, nullptr, false);
   if (response.status == 421 && body.is_object() && body.contains("foreman")) {
     return HandleRedirect(body["foreman"]);
@@ -140,9 +150,9 @@
   const double delay_s = behavior_.heartbeat_interval_s * (1 + jitter);
   if (body.value("mandate", uint64_t{0}) < identity_.fencing_token) return delay_s;
   identity_.fencing_token = body["mandate"].get<uint64_t>();
-  ExpireLease();  // a response to a heartbeat of an earlier epoch is dropped
-  if (sent_at + behavior_.lease_s <= net::SteadyNow()) return delay_s;
-  lease_valid_until_ = std::max(lease_valid_until_, sent_at + behavior_.lease_s);
+  ExpireLease();
+  if (sent.agent_epoch != identity_.agent_epoch) return delay_s;
+  lease_valid_until_ = std::max(lease_valid_until_, sent.sent_at + behavior_.lease_s);
   for (const Json& command : body["orders"]) ExecuteCommand(command);
   const bool has_change = !body["orders"].empty();
   return has_change ? std::min(delay_s, wire::kMinHeartbeatIntervalS) : delay_s;
--- a/src/fault_injection/fakes/fake_worker.h
+++ b/src/fault_injection/fakes/fake_worker.h
@@ -90,13 +90,19 @@
 
   void SendHeartbeat();
   void SendLateCopy(const std::string& body);
-  void OnResponse(const net::Response& response, double sent_at);
+  // A heartbeat that is sent but not answered.
+  struct SentHeartbeat {
+    double sent_at = 0;
+    uint64_t agent_epoch = 0;
+  };
+  void OnResponse(const net::Response& response, const SentHeartbeat& sent);
   // Returns the delay until the next heartbeat.
-  double HandleResponse(const net::Response& response, double sent_at);
+  double HandleResponse(const net::Response& response, const SentHeartbeat& sent);
   double HandleRedirect(const std::string& controller);
   double MoveToNextController();
   void ExecuteCommand(const wire::Json& command);
   void EndFinishedTasks();
+  void StartLeaseTimer();
   void ExpireLease();
   void EndAllTasks();
   net::HttpClient* CurrentClient();
@@ -117,6 +123,7 @@
   std::map<AttemptName, Task> tasks_;
   std::vector<std::string> started_tasks_;
   net::EventLoop::Timer timer_;
+  net::EventLoop::Timer lease_timer_;
 };
 
 }  // namespace zinclead::fault_injection
