--- a/src/core/heartbeat_handler.cc
+++ b/src/core/heartbeat_handler.cc
@@ -10,8 +10,8 @@
 // A machine counts as faulty when tasks of this many jobs have failed on it.
 constexpr size_t kFaultyMachineMinFailedJobs = 2;
 
-// The retry interval of a faulty job doubles at most this often: no job may wait 90 s while there
-// is free capacity.
+// The retry interval of a faulty job doubles at most this often: the machines may be at fault all
+// the same, and no job may wait 90 s while there is free capacity.
 constexpr int kMaxFaultyJobBackoffDoublings = 3;
 
 // Within this part of a heartbeat interval a response may still be in flight, so that a heartbeat
@@ -195,8 +195,9 @@
 
 // A machine that has lost its downlink keeps sending heartbeats, in a new agent epoch after each
 // lease, but never executes a command or acknowledges the term, which would block a failover
-// forever. Heartbeats that show no effect of earlier responses are therefore counted; see
-// MachineLifecycle::TerminateIfUnreachable.
+// forever. Heartbeats that show no effect of earlier responses are therefore counted;
+// MachineLifecycle::TerminateIfUnreachable terminates such machines unless they are so many that
+// the fault must be the leader's.
 void HeartbeatHandler::DetectDownlinkLoss(Machine* machine, const wire::Heartbeat& heartbeat,
                                           bool new_epoch, double now) {
   switch (InferResponseDelivery(heartbeat, *machine, new_epoch, now)) {
--- a/src/core/machine_lifecycle.cc
+++ b/src/core/machine_lifecycle.cc
@@ -26,7 +26,8 @@
   for (auto& [id, machine] : state_.machines) CheckpointBeforeReclaim(machine.get(), now);
   // Once the leader's own lease has expired, a silent machine may be in use by a newer leader,
   // which renews the machine's lease. An isolated leader that acted on the silence would start
-  // tasks a second time and terminate machines in use.
+  // tasks a second time and terminate machines in use. One that was isolated with the machines of
+  // its zone declared all others dead after a lease and ran their tasks a second time.
   if (lease_expired) return;
   const FleetHealth fleet = AssessFleet(now);
   for (auto& [id, owned] : state_.machines) {
@@ -124,7 +125,8 @@
 
 // After a failover the tasks on a silent machine are unknown, and inherited tasks would have to
 // wait until its lease has expired for every earlier leader. A confirmed termination proves sooner
-// that they have ended. If many machines are silent, the leader's network is at fault.
+// that they have ended: on a simulated day a failover waited 50 s for 24 machines that had died. If
+// many machines are silent, the leader's network is at fault.
 void MachineLifecycle::TerminateIfSilentInFailover(Machine* machine, const FleetHealth& fleet,
                                                    double now) const {
   if (fleet.few_machines_silent && fleet.has_waiting_inherited_tasks &&
--- a/src/core/machine_registry.cc
+++ b/src/core/machine_registry.cc
@@ -72,7 +72,8 @@
   if (ScaleOutRecord* record = RecordOf(*machine)) {
     record->machines.erase(id);
     // Written before the progress of jobs, which would use up all writes: a new leader waits for
-    // every machine that the records name, even for terminated ones.
+    // every machine that the records name, even for terminated ones. On a simulated day 163 of 608
+    // had been terminated long before.
     queue_.Enqueue(ScaleOutKey(record->name), Importance::kNormal);
   }
   --state_.machines_in_zone[machine->zone];
--- a/src/core/scheduling/job_objectives.cc
+++ b/src/core/scheduling/job_objectives.cc
@@ -16,7 +16,8 @@
 
 constexpr double kNoLimit = std::numeric_limits<double>::max();
 
-// The latest start time at which an array meets its objectives and deadline.
+// The latest start time at which an array meets its objectives and deadline, and the share of the
+// time until then that it may wait for spot capacity.
 struct LatestStart {
   double within_s = kNoLimit;  // after the job's acceptance
   double max_spot_wait_share = kMaxSpotWaitShare;
--- a/src/core/scheduling/service_consolidation.cc
+++ b/src/core/scheduling/service_consolidation.cc
@@ -24,7 +24,9 @@
 constexpr double kMaxMigrationDowntimeShare = 0.0027;
 constexpr double kMaxEvacuationDowntimeShare = 0.0067;
 
-// Machines that use more than this share of their CPUs are not evacuated.
+// Machines that use more than this share of their CPUs are not evacuated. When load falls, machines
+// that arrays and services shared are left with a service or two and cost as much as full ones: on
+// a simulated day 80 machines for 460 CPUs, later 48 for 108.
 constexpr double kMaxCpuShareForEvacuation = 0.67;
 
 // A service is migrated only after it has run for this many leases.
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr int kPriorityCount = 2;
-// Limits how long a lease renewal waits while all workers send heartbeats at once after a failover.
+// Limits how long a lease renewal waits while all workers send heartbeats at once after a failover,
+// which is more than a second's work.
 // Not much lower, because each poll in between examines every ready connection.
 constexpr int kMaxNormalCallbacksInARow = 64;
 constexpr std::chrono::milliseconds kRequestLimitPause(1);
@@ -60,7 +61,8 @@
 }
 
 // Pauses when the request limit of an iteration is reached. Without the pause the kernel throttles
-// a node with a small CPU share after a long burst of requests, and the leader's lease expires.
+// a node with a small CPU share after a long burst of requests, and the leader's lease expires:
+// with 2.4% of a core, bursts of 650 ms cost a leader its lease.
 void EventLoop::Run() {
   while (!stopped_) {
     requests_served_in_iteration_ = 0;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -60,7 +60,7 @@
 }
 
 // Writes the response without polling the socket first, as the socket is nearly always writable.
-// This saves several system calls per heartbeat.
+// Without this each heartbeat costs four calls of epoll_ctl and one more of epoll_wait.
 void WriteWithoutPolling(evhttp_connection* connection) {
   event_active(&evhttp_connection_get_bufferevent(connection)->ev_write, EV_WRITE, 0);
 }
--- a/src/service/peer_client.cc
+++ b/src/service/peer_client.cc
@@ -8,7 +8,7 @@
 namespace zinclead::service {
 namespace {
 
-// For each kind of traffic.
+// Share of the node's sockets for its connections to all peers together, for each kind of traffic.
 constexpr double kSocketShareForPeers = 0.02;
 constexpr size_t kMinConnections = 2;
 constexpr size_t kMaxQueuedCalls = 64;
--- a/src/state/store_client.cc
+++ b/src/state/store_client.cc
@@ -10,7 +10,8 @@
 constexpr double kShareOfNodeSockets = 0.005;
 constexpr size_t kMinConnections = 3;
 constexpr size_t kWatchConnections = 2;
-// The rest is for the writes of leader elections.
+// Only the leader writes much, so it gets nearly all of the rate. The rest is for the writes of
+// leader elections.
 constexpr double kLeaderShareOfWriteRate = 0.9;
 // Listing a page takes longer than reading a key.
 constexpr double kListTimeoutFactor = 2;
