A listener without a free descriptor gives up its high priority

Change: after an error of accept the listener has normal priority until it accepts a connection again.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/bufferevent_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
@@ -92,6 +93,30 @@
   return ntohs(address.sin_port);
 }
 
+// libevent offers no direct access to the event of a listener.
+void SetListenerPriority(event_base* base, evutil_socket_t socket, EventPriority priority) {
+  struct Target {
+    evutil_socket_t socket;
+    EventPriority priority;
+  } target{socket, priority};
+  event_base_foreach_event(
+      base,
+      [](const event_base*, const event* candidate, void* argument) {
+        const auto* wanted = static_cast<const Target*>(argument);
+        if (event_get_fd(candidate) != wanted->socket) return 0;
+        event_priority_set(const_cast<event*>(candidate), static_cast<int>(wanted->priority));
+        return 1;
+      },
+      &target);
+}
+
+// While there is no free descriptor, the listener stays ready. With high priority it would then
+// keep the loop from serving and closing the connections that hold the descriptors.
+void OnAcceptError(evconnlistener* listener, void* /*http*/) {
+  SetListenerPriority(evconnlistener_get_base(listener), evconnlistener_get_fd(listener),
+                      EventPriority::kNormal);
+}
+
 }  // namespace
 
 Responder::~Responder() {
@@ -156,6 +181,7 @@
   bufferevent_incref(connection);
   self->new_connections_.push_back(connection);
   event_active(self->new_connections_event_.get(), EV_TIMEOUT, 0);
+  SetListenerPriority(base, self->listening_socket_, self->priority_);
   return connection;
 }
 
@@ -166,23 +192,6 @@
   }
 }
 
-// libevent offers no direct access to the event of a listener.
-void HttpServer::PrioritizeListener(evutil_socket_t socket) {
-  struct Target {
-    evutil_socket_t socket;
-    int priority;
-  } target{socket, static_cast<int>(priority_)};
-  event_base_foreach_event(
-      loop_->base(),
-      [](const event_base*, const event* candidate, void* argument) {
-        const auto* wanted = static_cast<const Target*>(argument);
-        if (event_get_fd(candidate) != wanted->socket) return 0;
-        event_priority_set(const_cast<event*>(candidate), wanted->priority);
-        return 1;
-      },
-      &target);
-}
-
 void HttpServer::Listen(const std::string& host, uint16_t port, int backlog) {
   evhttp_bound_socket* bound = evhttp_bind_socket_with_handle(http_.get(), host.c_str(), port);
   if (bound == nullptr) {
@@ -195,7 +204,11 @@
         "http server: cannot set the listen backlog; using the default: backlog={} port={}",
         backlog, port);
   }
-  if (priority_ == EventPriority::kHigh) PrioritizeListener(socket);
+  if (priority_ == EventPriority::kHigh) {
+    listening_socket_ = socket;
+    SetListenerPriority(loop_->base(), socket, priority_);
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(bound), OnAcceptError);
+  }
   port_ = BoundPort(socket);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -73,7 +73,6 @@
   static bufferevent* OnConnectionAccepted(event_base* base, void* server);
   void Configure(const Limits& limits);
   void Listen(const std::string& host, uint16_t port, int backlog);
-  void PrioritizeListener(evutil_socket_t socket);
   void PrioritizeNewConnections();
   void Handle(evhttp_request* request);
   // Returns false if the connection must be closed after the response.
@@ -84,6 +83,7 @@
   const EventPriority priority_;
   const Handler handler_;
   uint16_t port_ = 0;
+  evutil_socket_t listening_socket_ = -1;
   std::unordered_set<evhttp_connection*> persistent_connections_;
   // Accepted connections that still have normal priority. Each holds a reference.
   std::vector<bufferevent*> new_connections_;
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -1,7 +1,10 @@
 // The event loop and the HTTP server handle many simultaneous connections and requests.
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -135,6 +138,37 @@
   EXPECT_LT(events_run_at_response, kEvents / 2);
 }
 
+// A node without a free descriptor must go on to serve and close its connections.
+TEST(EventLoop, NormalEventsRunWhileAHighPriorityServerHasNoFreeDescriptor) {
+  net::EventLoop server_loop;
+  net::HttpServer::Limits limits{1024, 8, 128, 60};
+  limits.priority = net::EventPriority::kHigh;
+  net::HttpServer server(&server_loop, "127.0.0.1", 0, limits,
+                         [](const net::ServerRequest&, const net::ResponderPtr&) {});
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  const int lowest_free_descriptor = dup(client);
+  close(lowest_free_descriptor);
+  rlimit limit{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  const rlimit exhausted{static_cast<rlim_t>(lowest_free_descriptor), limit.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &exhausted), 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(server.port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  std::atomic<bool> has_run = false;
+  net::EventLoop::Timer timer;
+  server_loop.StartTimer(&timer, 0.1, [&] { has_run = true; });
+  std::thread server_thread([&] { server_loop.Run(); });
+  usleep(500'000);
+  EXPECT_TRUE(has_run);
+  server_loop.Stop();
+  server_thread.join();
+  setrlimit(RLIMIT_NOFILE, &limit);
+  close(client);
+}
+
 // A poll examines every ready connection, so frequent polls keep a node from catching up.
 TEST(EventLoop, PollsRarelyWhileEventsOfAllMachinesAreReady) {
   constexpr int kMachines = 4000;
