--- a/src/fault_injection/controller_processes.cc
+++ b/src/fault_injection/controller_processes.cc
@@ -89,6 +89,7 @@
     }
     // The sockets of the parent must not stay open in the child, nor count towards its limit.
     close_range(STDERR_FILENO + 1, ~0U, 0);
+    signal(SIGPIPE, SIG_DFL);  // the parent may ignore it, and the child would inherit that
     if (options_.are_limits_enforced) setrlimit(RLIMIT_NOFILE, &descriptors);
     execv(argv[0], argv.data());
     _exit(127);
--- a/src/fault_injection/history.cc
+++ b/src/fault_injection/history.cc
@@ -158,7 +158,9 @@
     ran_twice_.Count();
     for (const auto& [other, identity] : machines) {
       if (other == event.machine.name) continue;
-      ran_twice_.Violate(now_, name + " on " + event.machine.name + " and " + other);
+      std::string what = name;
+      what.append(" on ").append(event.machine.name).append(" and ").append(other);
+      ran_twice_.Violate(now_, what);
     }
     if (job.cancelled_at) {
       ran_cancelled_.Count();
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -2,6 +2,7 @@
 // of all controllers.
 
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <algorithm>
 
@@ -195,5 +196,14 @@
   ASSERT_TRUE(RunLoopUntil([&] { return Send(follower, "GET", "/healthz").status == 200; }));
 }
 
+// A client that closes its connection before the response arrives must not end the controller.
+TEST_F(ThreeControllers, BrokenPipeDoesNotEndAController) {
+  ASSERT_TRUE(RunLoopUntil([&] { return Send(0, "GET", "/healthz").status == 200; }));
+  ASSERT_EQ(kill(controllers_.pid(0), SIGPIPE), 0);
+  const double end = net::SteadyNow() + 0.5;
+  ASSERT_TRUE(RunLoopUntil([&] { return net::SteadyNow() >= end; }));
+  EXPECT_TRUE(controllers_.IsRunning(0)) << controllers_.end_reason(0);
+}
+
 }  // namespace
 }  // namespace zinclead::testing
