Soak test: controllers listen on ports that connections don't take

While it was down, a connection of another run on the machine had taken its port, which came from the kernel's range for connections, so it could not listen again; the relays then connected to themselves until descriptors ran out. Change: ports below that range, each process beginning elsewhere.

--- a/src/fault_injection/controller_processes.cc
+++ b/src/fault_injection/controller_processes.cc
@@ -20,16 +20,35 @@
 namespace zinclead::fault_injection {
 namespace {
 
+// Below the range from which the kernel takes the ports of connections and of port 0: the port of a
+// controller that is down must stay free for its restart.
+constexpr int kFirstPort = 10'000;
+constexpr int kPortCount = 22'000;
+constexpr int kPortsPerProcess = 100;
+
+// Returns a server that listens on the port; null if the port is in use.
+std::unique_ptr<net::HttpServer> TryListen(net::EventLoop* loop, int port) {
+  try {
+    return std::make_unique<net::HttpServer>(
+        loop, "127.0.0.1", static_cast<uint16_t>(port), net::HttpServer::Limits{1024, 8, 128, 10},
+        [](const net::ServerRequest&, const net::ResponderPtr&) {});
+  } catch (const std::runtime_error&) {
+    return nullptr;
+  }
+}
+
 // Returns `count` different loopback ports on which nothing listens.
 std::vector<uint16_t> FindFreePorts(net::EventLoop* loop, size_t count) {
+  const int first_offset = getpid() * kPortsPerProcess % kPortCount;
   std::vector<std::unique_ptr<net::HttpServer>> probes;
   std::vector<uint16_t> ports;
-  for (size_t i = 0; i < count; ++i) {
-    probes.push_back(std::make_unique<net::HttpServer>(
-        loop, "127.0.0.1", 0, net::HttpServer::Limits{1024, 8, 128, 10},
-        [](const net::ServerRequest&, const net::ResponderPtr&) {}));
-    ports.push_back(probes.back()->port());
+  for (int i = 0; i < kPortCount && ports.size() < count; ++i) {
+    auto probe = TryListen(loop, kFirstPort + (first_offset + i) % kPortCount);
+    if (probe == nullptr) continue;
+    ports.push_back(probe->port());
+    probes.push_back(std::move(probe));
   }
+  if (ports.size() < count) throw std::runtime_error("no free loopback port for a controller");
   return ports;
 }
 
