Fault injection: a controller that ended by itself is always reported

Cause: the check "no controller exited unexpectedly" looked at the processes at the end of a run only. A controller that ended by itself and was then hit by a kill fault was started again and not reported, so two controllers that had ended at 4,000 workers left no reason behind.

Change: ControllerProcesses notes each end that it did not cause, also one found by Kill(), and both programs use one check that reports them (it stood twice).

--- a/src/fault_injection/controller_processes.cc
+++ b/src/fault_injection/controller_processes.cc
@@ -118,11 +118,14 @@
 }
 
 void ControllerProcesses::Kill(size_t index) {
-  if (pids_[index] == 0) return;
-  cpu_share_limiter_.Remove(pids_[index]);
+  if (!IsRunning(index)) return;
   kill(pids_[index], SIGKILL);
-  waitpid(pids_[index], nullptr, 0);
-  pids_[index] = 0;
+  int status = 0;
+  waitpid(pids_[index], &status, 0);
+  // The process may have ended by itself since IsRunning().
+  const bool was_killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+  if (!was_killed) RecordEnd(index, status);
+  Forget(index);
 }
 
 void ControllerProcesses::Pause(size_t index) {
@@ -139,11 +142,21 @@
   if (pids_[index] == 0) return false;
   int status = 0;
   if (waitpid(pids_[index], &status, WNOHANG) == 0) return true;
-  end_reasons_[index] = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
-                                            : "code " + std::to_string(WEXITSTATUS(status));
+  RecordEnd(index, status);
+  Forget(index);
+  return false;
+}
+
+void ControllerProcesses::RecordEnd(size_t index, int wait_status) {
+  end_reasons_[index] = WIFSIGNALED(wait_status)
+                            ? "signal " + std::to_string(WTERMSIG(wait_status))
+                            : "code " + std::to_string(WEXITSTATUS(wait_status));
+  unexpected_ends_.push_back(NodeName(index) + " with " + end_reasons_[index]);
+}
+
+void ControllerProcesses::Forget(size_t index) {
   cpu_share_limiter_.Remove(pids_[index]);
   pids_[index] = 0;
-  return false;
 }
 
 uint16_t ControllerProcesses::PeerPort(size_t from, size_t to) const {
--- a/src/fault_injection/controller_processes.h
+++ b/src/fault_injection/controller_processes.h
@@ -64,7 +64,8 @@
   // Starts the controller, and kills its former process if there is one. Throws std::runtime_error
   // if fork() fails; a program that can't be executed shows only in IsRunning().
   void Start(size_t index, Peers peers = Peers::kAll);
-  // Kills the process with SIGKILL and waits for its end.
+  // Kills the process with SIGKILL and waits for its end. A process that has ended by itself before
+  // is noted in unexpected_ends().
   void Kill(size_t index);
   // Stops the process with SIGSTOP, and continues it with SIGCONT.
   void Pause(size_t index);
@@ -73,8 +74,11 @@
   size_t count() const { return options_.count; }
   // Whether the process has been started and has not ended; a paused process is running.
   bool IsRunning(size_t index);
-  // How the process ended by itself, for example "signal 11"; empty if it did not.
+  // How the last process that ended by itself ended, for example "signal 11"; empty if none did.
   const std::string& end_reason(size_t index) const { return end_reasons_[index]; }
+  // Each process that ended by itself so far, for example "n1 with signal 11". Complete after
+  // IsRunning() was called for each controller.
+  const std::vector<std::string>& unexpected_ends() const { return unexpected_ends_; }
   std::string SettingsPath(size_t index) const;
   // 0: not running.
   pid_t pid(size_t index) const { return pids_[index]; }
@@ -85,6 +89,10 @@
   std::map<std::string, uint16_t> ListenPortsByNode() const;
 
  private:
+  // Notes that a process ended by itself.
+  void RecordEnd(size_t index, int wait_status);
+  // The process has ended and was waited for.
+  void Forget(size_t index);
   // Port at which `from` reaches `to`.
   uint16_t PeerPort(size_t from, size_t to) const;
   uint16_t StatePort(size_t index) const;
@@ -94,6 +102,7 @@
   std::vector<uint16_t> ports_;  // listening ports of all controllers, then their peer ports
   std::vector<pid_t> pids_;      // 0: not running
   std::vector<std::string> end_reasons_;
+  std::vector<std::string> unexpected_ends_;
   uint16_t cloud_port_ = 0;
   uint16_t state_port_ = 0;
   std::map<size_t, uint16_t> state_port_by_node_;
--- a/src/fault_injection/scenario_runner.cc
+++ b/src/fault_injection/scenario_runner.cc
@@ -24,6 +24,7 @@
 #include "fault_injection/fakes/fake_worker.h"
 #include "fault_injection/fakes/run_until.h"
 #include "fault_injection/interrupt_guard.h"
+#include "fault_injection/process_check.h"
 #include "fault_injection/users.h"
 #include "wire/labels.h"
 
@@ -295,13 +296,7 @@
        duplicate_tasks_.empty()
            ? Format("%.0f machines checked", static_cast<double>(cloud_->workers().size()))
            : "first task: " + *duplicate_tasks_.begin()});
-  std::string exited;
-  for (size_t i = 0; i < controllers_.count(); ++i) {
-    if (!controllers_.IsRunning(i)) exited += " " + ControllerProcesses::NodeName(i);
-  }
-  results.push_back({"no controller exited unexpectedly",
-                     exited.empty() ? Outcome::kHeld : Outcome::kBroken,
-                     exited.empty() ? "all are running" : "exited:" + exited});
+  results.push_back(CheckProcesses(&controllers_));
   return results;
 }
 
--- a/src/fault_injection/soak_runner.cc
+++ b/src/fault_injection/soak_runner.cc
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <stdexcept>
 #include <utility>
 
 #include "fault_injection/controller_processes.h"
@@ -18,6 +17,7 @@
 #include "fault_injection/history.h"
 #include "fault_injection/interrupt_guard.h"
 #include "fault_injection/load_balancer.h"
+#include "fault_injection/process_check.h"
 #include "fault_injection/soak_users.h"
 #include "fault_injection/tcp_relay.h"
 
@@ -88,7 +88,6 @@
   size_t LeaderIndex();
   void RunUntilTime(double end);
   void WriteTimeline(double now);
-  [[nodiscard]] CheckResult CheckProcesses();
   void SkipLogs();
   [[nodiscard]] CheckResult CheckLogs() const;
 
@@ -374,16 +373,6 @@
   }
 }
 
-CheckResult SoakRun::CheckProcesses() {
-  std::string ended;
-  for (size_t node = 0; node < options_.nodes; ++node) {
-    if (controllers_.IsRunning(node)) continue;
-    ended += " " + ControllerProcesses::NodeName(node) + " with " + controllers_.end_reason(node);
-  }
-  return {"no controller exited unexpectedly", ended.empty() ? Outcome::kHeld : Outcome::kBroken,
-          ended.empty() ? "all are running" : "exited:" + ended};
-}
-
 // CheckLogs ignores what the logs contain now.
 void SoakRun::SkipLogs() {
   for (size_t node = 0; node < options_.nodes; ++node) {
@@ -432,7 +421,7 @@
   RunUntilTime(observation_start + options_.observation_s);
   std::vector<CheckResult> results = CheckHistory(history_, rules);
   results.push_back(CheckLogs());
-  results.push_back(CheckProcesses());
+  results.push_back(CheckProcesses(&controllers_));
   return results;
 }
 
