Controllers don't wait for the reader of standard error

What callers saw: when the program that collects the logs hangs, the pipe fills up (64 KiB, some 500 lines) and the next log line blocks the event loop: no answers, no renewal of the lease, for as long as the reader hangs.

Cause: spdlog's sink of standard error writes and flushes each line with blocking calls on the thread that logs; libevent prints its own messages in the same way.

Change: a sink that asks with poll whether the pipe takes the next PIPE_BUF bytes, and otherwise drops the line and counts it; the next line that is written is preceded by the number. An asynchronous logger of spdlog would add a thread and lose the last lines before a crash. libevent's messages go to the same log.

HttpClient.ServerMayClose... is new too and was not red before: libevent sees the close first.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,7 +1,6 @@
 // Entry point of zinclead: parses the command line, loads the settings and runs the node.
 
 #include <malloc.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
@@ -15,6 +14,7 @@
 #include "admission/limits.h"
 #include "config/operator_settings.h"
 #include "config/settings.h"
+#include "logging/setup.h"
 #include "net/event_loop.h"
 #include "service/node.h"
 
@@ -35,22 +35,6 @@
   bool is_check_only = false;
 };
 
-// Logs to standard error at the level given by the environment variable LOG_LEVEL.
-void SetUpLogging() {
-  spdlog::set_default_logger(spdlog::stderr_logger_mt("zinclead"));
-  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
-  const char* const configured = std::getenv("LOG_LEVEL");
-  const std::string level = configured == nullptr ? "info" : configured;
-  spdlog::set_level(spdlog::level::info);
-  if (level == "error") {
-    spdlog::set_level(spdlog::level::err);
-  } else if (level == "debug") {
-    spdlog::set_level(spdlog::level::debug);
-  } else if (level != "info") {
-    spdlog::warn("logging: LOG_LEVEL is not error, info or debug; using info: level=\"{}\"", level);
-  }
-}
-
 // Uses one malloc arena and returns freed memory to the operating system, as the process has only
 // tens of megabytes of memory.
 void LimitHeap() {
@@ -92,7 +76,7 @@
 int Serve(const Settings& settings, const OperatorSettings& operator_settings) {
   LimitHeap();
   zinclead::net::IgnoreBrokenPipes();  // standard error may be a pipe, too
-  SetUpLogging();
+  zinclead::logging::SetUp();
   try {
     zinclead::service::Node node(settings, operator_settings);
     spdlog::info("node: listening: node={} zone={} address={}", settings.node, settings.zone,
--- a/tests/broken_connection_test.cc
+++ b/tests/broken_connection_test.cc
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -178,5 +179,30 @@
   }
 }
 
+// A busy caller may use a kept connection before it sees that the server has closed it: the first
+// part of a large request is accepted by the kernel, the next one is not.
+TEST(HttpClient, ServerMayCloseAKeptConnectionBeforeALargeRequest) {
+  net::EventLoop loop;
+  const RawListener listener;
+  net::HttpClient client(&loop, "127.0.0.1", listener.port(), 1, 1, kMaxBodyBytes);
+  std::unique_ptr<RawConnection> connection;
+  std::thread server([&] {
+    connection = listener.Accept();
+    (void)connection->Receive(kMaxBodyBytes, kTimeoutS);
+    connection->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  });
+  std::optional<int> status;
+  const auto record_status = [&](const net::Response& response) { status = response.status; };
+  client.Call("GET", "/", "", kTimeoutS, record_status);
+  ASSERT_TRUE(RunUntil(&loop, [&] { return status.has_value(); }));
+  ASSERT_EQ(*status, 200);
+  server.join();
+  connection->End(ConnectionEnd::kClose);
+  status.reset();
+  client.Call("POST", "/", std::string(kMaxBodyBytes, 'x'), kTimeoutS, record_status);
+  ASSERT_TRUE(RunUntil(&loop, [&] { return status.has_value(); }));
+  EXPECT_EQ(*status, 0);
+}
+
 }  // namespace
 }  // namespace zinclead::testing
