A machine list whose "truncated" is no boolean counts as malformed

What callers saw: a controller that leads ends with code 1 and the text of a JSON type error; its successor too, as long as the cloud answers like this.

Cause: ParseMachinePage read the field with json.value(), which throws if the type differs. The exception left the callback of the cloud client, passed through libevent and ended the loop.

Change: JsonReader::OptionalBool; the page is a malformed response, which is logged, and whose call is repeated. A missing or null field still means false.

CloudApiBytes.AreRejectedWhenTruncatedIsNotABoolean was red before: the exception is thrown (json.exception.type_error.302).

--- a/src/wire/cloud_api.cc
+++ b/src/wire/cloud_api.cc
@@ -80,10 +80,12 @@
   const Json json = ParseJson(body);
   JsonReader reader(json);
   const Json* list = reader.Array(field::kMachines);
-  if (list == nullptr) return reader.Failure();
+  bool has_more = false;
+  reader.OptionalBool(field::kTruncated, &has_more);
+  if (!reader.ok()) return reader.Failure();
   return ParseItems<ListedMachine>(*list, ListedMachineFromJson)
       .map([&](std::vector<ListedMachine> machines) {
-        return MachinePage{std::move(machines), json.value(field::kTruncated, false)};
+        return MachinePage{std::move(machines), has_more};
       });
 }
 
--- a/src/wire/json_reader.cc
+++ b/src/wire/json_reader.cc
@@ -46,7 +46,11 @@
 }
 
 void JsonReader::Bool(const char* name, bool* target) {
-  const Json* value = Required(name);
+  if (Required(name) != nullptr) OptionalBool(name, target);
+}
+
+void JsonReader::OptionalBool(const char* name, bool* target) {
+  const Json* value = Optional(name);
   if (value == nullptr) return;
   if (!value->is_boolean()) return Fail(name, "must be true or false");
   *target = value->get<bool>();
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -48,6 +48,8 @@
   void Amount(const char* name, double* target);
   void OptionalAmount(const char* name, std::optional<double>* target);
   void Bool(const char* name, bool* target);
+  // Leaves `target` unchanged if the field is missing or null.
+  void OptionalBool(const char* name, bool* target);
   // An integer from 0 to 2^64 - 1.
   void Unsigned(const char* name, uint64_t* target);
   // A string that is one of `labels`.
--- a/tests/wire/field_names_test.cc
+++ b/tests/wire/field_names_test.cc
@@ -162,6 +162,17 @@
   EXPECT_FALSE(IsNoCapacity(R"({"error":"down"})"));
 }
 
+// An exception would leave a callback of the event loop and end the controller.
+TEST(CloudApiBytes, AreRejectedWhenTruncatedIsNotABoolean) {
+  for (const char* value : {"1", "\"yes\"", "[]", "{}"}) {
+    const auto page = ParseMachinePage(std::string(R"({"anvils":[],"truncated":)") + value + "}");
+    ASSERT_FALSE(page) << value;
+    EXPECT_EQ(page.error().ToString(), "truncated must be true or false");
+  }
+  EXPECT_FALSE(ParseMachinePage(R"({"anvils":[],"truncated":null})")->has_more);
+  EXPECT_FALSE(ParseMachinePage(R"({"anvils":[]})")->has_more);
+}
+
 TEST(StoreApiBytes, MatchProtocolWhenRequestsAreSerialized) {
   const std::vector<VersionPrecondition> conditions = {{"c/leader", 3}};
   const std::vector<StoreWrite> writes = {
