Stored records with a field of a wrong type are malformed, not fatal

What callers saw: each controller that is elected ends with code 1 while it loads such a record, so nobody leads. The documented reaction is to log the record as malformed, and to leave it unused and unchanged.

Cause: LoadJob and LoadScaleOut read fields with json.value(), which throws if the type differs; the exception leaves a callback of the state service's client.

Change: the types of all fields are checked before a record is read. Records that were loaded before are loaded as before.

CoreTest.RecordsWithFieldsOfAWrongTypeAreRejected replaces each field of real records by values of other types.

--- a/src/core/durable_state.cc
+++ b/src/core/durable_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <initializer_list>
 #include <utility>
 
 namespace zinclead::core {
@@ -22,6 +23,38 @@
   return spec;
 }
 
+struct FieldType {
+  const char* name;
+  bool (Json::*has_type)() const noexcept;
+};
+
+// Whether the record is an object in which each of the fields has its type or is missing.
+bool HasFieldTypes(const Json& record, std::initializer_list<FieldType> fields) {
+  return record.is_object() &&
+         std::all_of(fields.begin(), fields.end(), [&record](const FieldType& field) {
+           const auto value = record.find(field.name);
+           return value == record.end() || ((*value).*field.has_type)();
+         });
+}
+
+bool IsWellFormedJob(const Json& record) {
+  return HasFieldTypes(record, {{"final", &Json::is_string},
+                                {"tasks", &Json::is_number},
+                                {"spec", &Json::is_object},
+                                {"accepted_ms", &Json::is_number},
+                                {"chunk", &Json::is_number},
+                                {"done", &Json::is_string}});
+}
+
+bool IsWellFormedScaleOut(const Json& record) {
+  return HasFieldTypes(record, {{"type", &Json::is_string},
+                                {"zone", &Json::is_string},
+                                {"spot", &Json::is_boolean},
+                                {"count", &Json::is_number},
+                                {"adopted", &Json::is_boolean},
+                                {"asked_ms", &Json::is_number}});
+}
+
 }  // namespace
 
 bool DurableState::LoadRecord(const std::string& key, const Json& value) {
@@ -57,7 +90,7 @@
 }
 
 bool DurableState::LoadJob(const std::string& id, const Json& value) {
-  if (!value.is_object()) return false;
+  if (!IsWellFormedJob(value)) return false;
   const std::string final_state = value.value("final", std::string());
   if (final_state == "done") {
     state_.finished_jobs[id] = {FinalState::kDone, value.value("tasks", 0U)};
@@ -86,7 +119,7 @@
 }
 
 bool DurableState::LoadScaleOut(const std::string& name, const Json& value) {
-  if (!value.is_object()) return false;
+  if (!IsWellFormedScaleOut(value)) return false;
   auto scale_out = std::make_unique<ScaleOutRecord>();
   scale_out->name = name;
   scale_out->type = value.value("type", std::string());
--- a/tests/core/durable_state_test.cc
+++ b/tests/core/durable_state_test.cc
@@ -49,6 +49,38 @@
   EXPECT_EQ(cluster_->DequeueRecords(1), std::vector<std::string>{"zinclead/job/req-9"});
 }
 
+// An exception would leave a callback of the event loop and end each controller that is elected.
+TEST_F(CoreTest, RecordsWithFieldsOfAWrongTypeAreRejected) {
+  std::map<std::string, wire::TaskStatus> tasks;
+  Submit(testing::MakeJob("req-1", 3));
+  Submit(testing::MakeJob("req-2"));
+  cluster_->Cancel("req-2");
+  Store();
+  BringUp("i-1", &tasks);
+  Store();
+  ASSERT_GE(store_.size(), 4U);
+  const std::vector<wire::Json> wrong_values = {nullptr,     true, 7, "text", wire::Json::array(),
+                                                {{"a", "b"}}};
+  for (const auto& [key, record] : store_) {
+    if (!record.is_object()) continue;
+    for (const auto& [name, value] : record.items()) {
+      for (const wire::Json& wrong : wrong_values) {
+        if (wrong.type() == value.type() || (wrong.is_number() && value.is_number())) continue;
+        wire::Json malformed = record;
+        malformed[name] = wrong;
+        Cluster cluster(settings_, operator_settings_, term_, now_, 1000 + now_, 1);
+        bool is_loaded = true;
+        EXPECT_NO_THROW(is_loaded = cluster.LoadRecord(key, malformed)) << key << " " << malformed;
+        // A machine list of another type reads as a request whose outcome is unknown, and null in a
+        // machine type as a missing field.
+        const bool may_be_loaded =
+            name == "machines" || (key.starts_with("zinclead/type/") && wrong.is_null());
+        EXPECT_TRUE(!is_loaded || may_be_loaded) << key << " " << malformed;
+      }
+    }
+  }
+}
+
 // The records of a job with 100,000 tasks must fit the limit for a value, or its progress could not
 // be stored.
 TEST_F(CoreTest, RecordsStayWithinTheLimitWhenAJobIsLarge) {
