--- a/src/fault_injection/tcp_relay.cc
+++ b/src/fault_injection/tcp_relay.cc
@@ -1,6 +1,5 @@
 #include "fault_injection/tcp_relay.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <sys/socket.h>
@@ -10,19 +9,9 @@
 #include <utility>
 #include <vector>
 
-namespace zinclead::fault_injection {
-namespace {
-
-sockaddr_in LoopbackAddress(uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
-}  // namespace
+#include "fault_injection/loopback.h"
 
+namespace zinclead::fault_injection {
 TcpRelay::TcpRelay(net::EventLoop* loop, uint16_t target_port)
     : loop_(loop), target_port_(target_port) {
   sockaddr_in address = LoopbackAddress(0);
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -1,6 +1,5 @@
 // The event loop and the HTTP server handle many simultaneous connections and requests.
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "fault_injection/fakes/run_until.h"
+#include "fault_injection/loopback.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -152,10 +152,7 @@
   ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
   const rlimit exhausted{static_cast<rlim_t>(lowest_free_descriptor), limit.rlim_max};
   ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &exhausted), 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(server.port());
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  sockaddr_in address = fault_injection::LoopbackAddress(server.port());
   EXPECT_EQ(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
   std::atomic<bool> has_run = false;
   net::EventLoop::Timer timer;
--- a/tests/raw_connection.cc
+++ b/tests/raw_connection.cc
@@ -1,7 +1,5 @@
 #include "raw_connection.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,18 +7,14 @@
 #include <stdexcept>
 #include <utility>
 
+#include "fault_injection/loopback.h"
+
 namespace zinclead::testing {
 namespace {
 
-constexpr int kBacklog = 128;
+using fault_injection::LoopbackAddress;
 
-sockaddr_in LoopbackAddress(uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
+constexpr int kBacklog = 128;
 
 }  // namespace
 
