Fault injection and tests: code that stood more than once is joined

FindLeader replaces three copies of the look-up of the leader key; SeededRandom the class of the soak's plan and three draws written out; team names and CPUs a machine come from soak_plan.h for the plan and the runner, which must agree. In the tests: TemporaryFolder, OpenDescriptors and WaitUntilAllAreHealthy in place of copies.

--- a/src/fault_injection/fakes/fake_store.h
+++ b/src/fault_injection/fakes/fake_store.h
@@ -45,6 +45,7 @@
   [[nodiscard]] uint16_t port() const { return server_.port(); }
   // By key. Changes through this reference neither increment the revision nor notify watches.
   std::map<std::string, Entry>& entries() { return entries_; }
+  [[nodiscard]] const std::map<std::string, Entry>& entries() const { return entries_; }
   // Compare-and-swap requests that were processed, with any result, including calls of
   // CompareAndSwap().
   [[nodiscard]] uint64_t compare_and_swap_count() const { return compare_and_swap_count_; }
--- a/src/fault_injection/scenario_runner.cc
+++ b/src/fault_injection/scenario_runner.cc
@@ -24,6 +24,7 @@
 #include "fault_injection/fakes/fake_worker.h"
 #include "fault_injection/fakes/run_until.h"
 #include "fault_injection/interrupt_guard.h"
+#include "fault_injection/leader_lookup.h"
 #include "fault_injection/process_check.h"
 #include "fault_injection/users.h"
 #include "wire/labels.h"
@@ -38,7 +39,6 @@
 // time.
 constexpr double kRetryAllowanceS = 3;
 constexpr int kMaxStatusQueryRounds = 20;
-constexpr const char* kLeaderKey = "zinclead/leader";
 
 std::string Format(const char* format, double value) {
   std::array<char, 96> text{};
@@ -84,8 +84,6 @@
   };
   ControllerOptions MakeControllerOptions(const RunOptions& options);
   FakeStore::InjectedFault ChooseInjectedFault(const wire::Json& transaction);
-  // Index of the controller named in the leader key; -1: none.
-  int LeaderIndex();
   // Runs the loop until `is_done` returns true, without a time limit. Throws when interrupted.
   void WaitUntil(const std::function<bool()>& is_done);
   void ScheduleFaults(double start);
@@ -177,16 +175,6 @@
   return FakeStore::InjectedFault::kNormal;
 }
 
-int ScenarioRun::LeaderIndex() {
-  const auto it = store_.entries().find(kLeaderKey);
-  if (it == store_.entries().end()) return -1;
-  const std::string name = it->second.value.value("node", std::string());
-  for (size_t i = 0; i < controllers_.count(); ++i) {
-    if (ControllerProcesses::NodeName(i) == name) return static_cast<int>(i);
-  }
-  return -1;
-}
-
 void ScenarioRun::WaitUntil(const std::function<bool()>& is_done) {
   const auto is_done_or_interrupted = [&] {
     ThrowIfInterrupted();
@@ -203,7 +191,10 @@
     // controller.
     auto controller = std::make_shared<int>(fault.controller);
     events_.push_back({start + fault.start_s, [this, fault, controller] {
-                         if (*controller < 0) *controller = std::max(0, LeaderIndex());
+                         if (*controller < 0) {
+                           *controller =
+                               static_cast<int>(FindLeader(store_, controllers_).value_or(0));
+                         }
                          BeginFault(fault, *controller);
                        }});
     events_.push_back({start + fault.start_s + fault.duration_s,
@@ -265,7 +256,7 @@
 }
 
 std::vector<CheckResult> ScenarioRun::Run() {
-  WaitUntil([this] { return LeaderIndex() >= 0; });
+  WaitUntil([this] { return FindLeader(store_, controllers_).has_value(); });
   const double start = net::SteadyNow();
   users_ = std::make_unique<Users>(&loop_, controllers_, scenario_, start, seed_);
   ScheduleFaults(start);
--- a/src/fault_injection/soak_plan.cc
+++ b/src/fault_injection/soak_plan.cc
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <random>
 #include <stdexcept>
 #include <utility>
 
+#include "fault_injection/seeded_random.h"
+
 namespace zinclead::fault_injection {
 namespace {
 
@@ -31,7 +32,6 @@
 constexpr double kMeanFaultIntervalS = 4;
 constexpr double kMinFaultS = 0.2;
 constexpr double kMaxFaultS = 14;
-constexpr double kCpusPerMachine = 4;
 constexpr uint32_t kTasksPerService = 40;
 // Services fill this share of the machines; arrays come and go on the rest.
 constexpr double kServiceShare = 0.9;
@@ -39,28 +39,13 @@
 constexpr uint32_t kMaxArrayTasks = 8;
 constexpr double kMaxArrayTaskS = 10;
 constexpr double kCancelledShare = 0.25;
-constexpr size_t kTeams = 3;
 constexpr size_t kFirstJobNumber = 100'000;
 
-// Draws numbers in a way that does not depend on the standard library.
-class Random {
- public:
-  explicit Random(uint64_t seed) : generator_(seed) {}
-  double Uniform(double low, double high) {
-    const double unit = static_cast<double>(generator_() >> 11U) * 0x1.0p-53;
-    return low + unit * (high - low);
-  }
-  size_t Index(size_t count) { return generator_() % count; }
-
- private:
-  std::mt19937_64 generator_;
-};
-
-wire::JobSpec MakeSpec(size_t number, Random* random) {
+wire::JobSpec MakeSpec(size_t number, SeededRandom* random) {
   wire::JobSpec spec;
   spec.id = "req-" + std::to_string(kFirstJobNumber + number);
   spec.job_class = "soak";
-  spec.team = "team-" + std::to_string(random->Index(kTeams));
+  spec.team = SoakTeamName(random->Index(kSoakTeams));
   spec.cpus = 1;
   spec.memory_gb = 1;
   spec.image = "img-1";
@@ -68,8 +53,8 @@
   return spec;
 }
 
-std::vector<SoakJob> MakeServices(const SoakOptions& options, Random* random) {
-  const double tasks = static_cast<double>(options.machines) * kCpusPerMachine * kServiceShare;
+std::vector<SoakJob> MakeServices(const SoakOptions& options, SeededRandom* random) {
+  const double tasks = static_cast<double>(options.machines) * kSoakCpusPerMachine * kServiceShare;
   const auto count = static_cast<size_t>(tasks / kTasksPerService) + 1;
   std::vector<SoakJob> jobs;
   for (size_t i = 0; i < count; ++i) {
@@ -85,7 +70,7 @@
   return jobs;
 }
 
-SoakJob MakeArray(size_t number, double submitted_s, Random* random) {
+SoakJob MakeArray(size_t number, double submitted_s, SeededRandom* random) {
   SoakJob job;
   job.spec = MakeSpec(number, random);
   job.spec.tasks = 1 + static_cast<uint32_t>(random->Index(kMaxArrayTasks));
@@ -102,6 +87,8 @@
 
 }  // namespace
 
+std::string SoakTeamName(size_t index) { return "team-" + std::to_string(index); }
+
 std::string_view NameOf(SoakFaultKind kind) {
   for (const auto& [known, name] : kKindNames) {
     if (known == kind) return name;
@@ -126,7 +113,7 @@
 }
 
 SoakPlan MakeSoakPlan(const SoakOptions& options) {
-  Random random(options.seed);
+  SeededRandom random(options.seed);
   SoakPlan plan;
   std::vector<Kind> kinds = options.kinds;
   if (kinds.empty()) {
--- a/src/fault_injection/soak_plan.h
+++ b/src/fault_injection/soak_plan.h
@@ -12,6 +12,11 @@
 
 namespace zinclead::fault_injection {
 
+inline constexpr size_t kSoakTeams = 3;
+inline constexpr double kSoakCpusPerMachine = 4;
+// Name of a team; `index` is less than kSoakTeams.
+[[nodiscard]] std::string SoakTeamName(size_t index);
+
 enum class SoakFaultKind : uint8_t {
   kKillLeader,         // kills the leader's process and starts it again at the end
   kKillNode,           // the same for a random node
--- a/src/fault_injection/soak_runner.cc
+++ b/src/fault_injection/soak_runner.cc
@@ -6,7 +6,6 @@
 #include <limits>
 #include <map>
 #include <memory>
-#include <random>
 #include <utility>
 
 #include "fault_injection/controller_processes.h"
@@ -16,8 +15,10 @@
 #include "fault_injection/fakes/run_until.h"
 #include "fault_injection/history.h"
 #include "fault_injection/interrupt_guard.h"
+#include "fault_injection/leader_lookup.h"
 #include "fault_injection/load_balancer.h"
 #include "fault_injection/process_check.h"
+#include "fault_injection/seeded_random.h"
 #include "fault_injection/soak_users.h"
 #include "fault_injection/tcp_relay.h"
 
@@ -26,8 +27,6 @@
 
 using Kind = SoakFaultKind;
 
-constexpr size_t kTeams = 3;
-constexpr double kCpusPerMachine = 4;
 constexpr double kMinTeamCpuLimit = 60;
 // Share of all CPUs that one team may use.
 constexpr double kTeamCpuShare = 0.5;
@@ -39,13 +38,12 @@
 constexpr double kTimelineIntervalS = 5;
 constexpr const char* kStatusLine = "node: status:";
 constexpr const char* kLateRequestsLine = "node: requests wait longer than their senders";
-constexpr const char* kLeaderKey = "zinclead/leader";
 
 wire::MachineType SoakMachineType() {
   wire::MachineType type;
   type.name = "c4";
-  type.cpus = kCpusPerMachine;
-  type.memory_gb = 4 * kCpusPerMachine;
+  type.cpus = kSoakCpusPerMachine;
+  type.memory_gb = 4 * kSoakCpusPerMachine;
   type.fetch_gb_per_s = 1;
   type.price = 1;
   type.spot_price = 1;
@@ -54,8 +52,6 @@
   return type;
 }
 
-std::string TeamName(size_t index) { return "team-" + std::to_string(index); }
-
 class SoakRun {
  public:
   SoakRun(const SoakOptions& options, const SoakPlan& plan, const SoakRunOptions& run_options);
@@ -85,7 +81,6 @@
   int& Active(Kind kind, size_t node) { return active_[{kind, node}]; }
   [[nodiscard]] bool IsActive(Kind kind, size_t node) const;
   FakeStore::InjectedFault ChooseStoreFault() const;
-  size_t LeaderIndex();
   void RunUntilTime(double end);
   void WriteTimeline(double now);
   void SkipLogs();
@@ -98,7 +93,7 @@
   std::map<std::string, const SoakJob*> jobs_by_id_;
   std::vector<HistoryEvent> history_;
   std::ofstream timeline_;
-  std::mt19937_64 random_;
+  SeededRandom random_;
   net::EventLoop loop_;
   FakeStore store_;
   ControllerProcesses controllers_;
@@ -152,7 +147,7 @@
   controller_options.log_dir = run_options.log_dir;
   controller_options.count = options_.nodes;
   controller_options.teams.clear();
-  for (size_t i = 0; i < kTeams; ++i) controller_options.teams.push_back(TeamName(i));
+  for (size_t i = 0; i < kSoakTeams; ++i) controller_options.teams.push_back(SoakTeamName(i));
   controller_options.team_cpu_limit = TeamCpuLimit();
   controller_options.heartbeat_interval_s = options_.heartbeat_interval_s;
   controller_options.lease_s = options_.lease_s;
@@ -166,7 +161,7 @@
 }
 
 double SoakRun::TeamCpuLimit() const {
-  const double cpus = static_cast<double>(options_.machines) * kCpusPerMachine;
+  const double cpus = static_cast<double>(options_.machines) * kSoakCpusPerMachine;
   return std::max(kMinTeamCpuLimit, kTeamCpuShare * cpus);
 }
 
@@ -191,9 +186,9 @@
   behavior.lease_s = options_.lease_s;
   behavior.task_duration_s = [this](const std::string& job) { return TaskDurationS(job); };
   behavior.link = [this](const std::string& controller) { return LinkOf(controller); };
-  behavior.random = [this] { return static_cast<double>(random_() >> 11U) * 0x1.0p-53; };
+  behavior.random = [this] { return random_.Unit(); };
   behavior.late_copy_delay_s = [this] {
-    const double draw = static_cast<double>(random_() >> 11U) * 0x1.0p-53;
+    const double draw = random_.Unit();
     if (!IsActive(Kind::kLateHeartbeats, 0) || draw > kLateCopyShare) return -1.0;
     return draw / kLateCopyShare * kMaxLateCopyInLeases * options_.lease_s;
   };
@@ -241,16 +236,6 @@
   return FakeStore::InjectedFault::kNormal;
 }
 
-size_t SoakRun::LeaderIndex() {
-  const auto it = store_.entries().find(kLeaderKey);
-  if (it == store_.entries().end()) return options_.nodes;
-  const std::string name = it->second.value.value("node", std::string());
-  for (size_t node = 0; node < options_.nodes; ++node) {
-    if (ControllerProcesses::NodeName(node) == name) return node;
-  }
-  return options_.nodes;
-}
-
 // Faults of the whole deployment are counted at node 0.
 size_t CountedAt(Kind kind, size_t node) {
   switch (kind) {
@@ -269,10 +254,8 @@
   for (const SoakFault& fault : plan_.faults) {
     auto node = std::make_shared<size_t>(CountedAt(fault.kind, fault.node));
     steps_.push_back({start + fault.start_s, [this, fault, node] {
-                        const size_t leader = LeaderIndex();
-                        if (fault.kind == Kind::kKillLeader && leader < options_.nodes) {
-                          *node = leader;
-                        }
+                        const auto leader = FindLeader(store_, controllers_);
+                        if (fault.kind == Kind::kKillLeader && leader) *node = *leader;
                         Begin(fault, *node);
                       }});
     steps_.push_back(
@@ -337,7 +320,8 @@
 // One line: the leader, and what users got in the last seconds through the load balancer; and
 // the last response of each node to a question that was sent to it directly.
 void SoakRun::WriteTimeline(double now) {
-  timeline_ << now - start_ << " s: leader " << LeaderIndex() << ", machines "
+  timeline_ << now - start_ << " s: leader "
+            << FindLeader(store_, controllers_).value_or(options_.nodes) << ", machines "
             << cloud_->workers().size() << ", accepted " << users_->accepted_count()
             << ", healthy nodes " << load_balancer_->HealthyCount() << ", answers";
   for (const auto& [status, count] : users_->TakeCounts()) {
@@ -405,7 +389,7 @@
   ScheduleFaults(faults_start);
   HistoryRules rules;
   rules.cancel_s = options_.cancel_s;
-  for (size_t i = 0; i < kTeams; ++i) rules.cpu_limit_by_team[TeamName(i)] = TeamCpuLimit();
+  for (size_t i = 0; i < kSoakTeams; ++i) rules.cpu_limit_by_team[SoakTeamName(i)] = TeamCpuLimit();
   // Late copies of heartbeats are the last trouble.
   double faults_end = faults_start + plan_.FaultsEndS();
   for (const SoakFault& fault : plan_.faults) {
--- a/src/fault_injection/soak_users.cc
+++ b/src/fault_injection/soak_users.cc
@@ -44,8 +44,6 @@
   for (const SoakJob& job : jobs) jobs_.push_back({.job = &job});
 }
 
-double SoakUsers::Random() { return static_cast<double>(random_() >> 11U) * 0x1.0p-53; }
-
 void SoakUsers::SendDue(double now, double start) {
   for (JobState& state : jobs_) SendDueOf(&state, now, start);
   if (now >= next_unknown_query_at_) AskAboutUnknownJob(now);
@@ -65,7 +63,7 @@
     Cancel(state, now);
   }
   if (state->is_awaiting_query || now < state->next_query_at) return;
-  if (Random() < kRepeatedSubmissionShare) return Submit(state, now);
+  if (random_.Unit() < kRepeatedSubmissionShare) return Submit(state, now);
   Query(state, now);
 }
 
@@ -100,7 +98,7 @@
     return;
   }
   state->is_awaiting_submission = true;
-  state->next_query_at = now + kQueryIntervalS * (0.8 + 0.4 * Random());
+  state->next_query_at = now + kQueryIntervalS * (0.8 + 0.4 * random_.Unit());
   Send(RequestKind::kSubmission, spec.id, "POST", std::string(wire::kJobsPath), ToJson(spec).dump(),
        wire::kSubmitTimeoutS, [this, state](const net::Response& response) {
          const double answered_at = net::SteadyNow();
@@ -118,7 +116,7 @@
 
 void SoakUsers::Query(JobState* state, double now) {
   state->is_awaiting_query = true;
-  state->next_query_at = now + kQueryIntervalS * (0.8 + 0.4 * Random());
+  state->next_query_at = now + kQueryIntervalS * (0.8 + 0.4 * random_.Unit());
   const std::string& job = state->job->spec.id;
   Send(RequestKind::kStatusQuery, job, "GET", JobPath(job), "", wire::kQueryTimeoutS,
        [state](const net::Response& response) {
--- a/src/fault_injection/soak_users.h
+++ b/src/fault_injection/soak_users.h
@@ -7,13 +7,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "fault_injection/history.h"
 #include "fault_injection/load_balancer.h"
+#include "fault_injection/seeded_random.h"
 #include "fault_injection/soak_plan.h"
 #include "net/http_message.h"
 
@@ -63,11 +63,10 @@
   void Send(RequestKind kind, const std::string& job, const std::string& method,
             const std::string& path, const std::string& body, double timeout_s,
             std::function<void(const net::Response&)> done);
-  double Random();
 
   LoadBalancer* const load_balancer_;
   std::vector<JobState> jobs_;
-  std::mt19937_64 random_;
+  SeededRandom random_;
   const std::function<void(HistoryEvent)> record_;
   StatusCounts counts_;
   size_t accepted_count_ = 0;
--- a/tests/broken_connection_test.cc
+++ b/tests/broken_connection_test.cc
@@ -1,7 +1,7 @@
 // HTTP servers and clients whose other end closes or resets the connection at any moment.
 
-#include <dirent.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -15,6 +15,7 @@
 #include "fault_injection/fakes/run_until.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "open_descriptors.h"
 #include "raw_connection.h"
 
 namespace zinclead::testing {
@@ -28,14 +29,6 @@
 constexpr size_t kLargeBytes = size_t{8} << 20U;
 constexpr double kTimeoutS = 10;
 
-size_t OpenDescriptors() {
-  size_t count = 0;
-  DIR* const folder = opendir("/proc/self/fd");
-  while (readdir(folder) != nullptr) ++count;
-  closedir(folder);
-  return count;
-}
-
 // A server whose responses are sent by SendResponses, and one client that gives up.
 class ServerWithImpatientClient : public ::testing::TestWithParam<ConnectionEnd> {
  protected:
@@ -62,7 +55,7 @@
   }
   // Returns whether the server has closed the connections of clients that gave up.
   bool ReturnsToDescriptors(size_t count) {
-    return RunUntil(&loop_, [&] { return OpenDescriptors() <= count; });
+    return RunUntil(&loop_, [&] { return OpenDescriptors(getpid()) <= count; });
   }
 
   net::EventLoop loop_;
@@ -94,7 +87,7 @@
 
 // A response to a client that has gone must fail like any other closed connection.
 TEST_P(ServerWithImpatientClient, MayGiveUpBeforeItsResponse) {
-  const size_t descriptors = OpenDescriptors();
+  const size_t descriptors = OpenDescriptors(getpid());
   for (const size_t response_bytes : {size_t{2}, kLargeBytes}) {
     RawConnection client(server_.port());
     ASSERT_TRUE(client.connected());
@@ -109,7 +102,7 @@
 
 // The rest of a response that the kernel has no room for is written after the client has gone.
 TEST_P(ServerWithImpatientClient, MayGiveUpInTheMiddleOfItsResponse) {
-  const size_t descriptors = OpenDescriptors();
+  const size_t descriptors = OpenDescriptors(getpid());
   RawConnection client(server_.port());
   ASSERT_TRUE(client.connected());
   client.Send(RequestText("GET", "/"));
@@ -124,7 +117,7 @@
 
 // The second response goes to a connection that the first one has shown to be closed.
 TEST_P(ServerWithImpatientClient, MayGiveUpWithTwoRequestsSent) {
-  const size_t descriptors = OpenDescriptors();
+  const size_t descriptors = OpenDescriptors(getpid());
   RawConnection client(server_.port());
   ASSERT_TRUE(client.connected());
   client.Send(RequestText("GET", "/") + RequestText("GET", "/"));
--- a/tests/controller_processes_test.cc
+++ b/tests/controller_processes_test.cc
@@ -5,14 +5,13 @@
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <stdexcept>
 #include <string>
 
 #include "fault_injection/fakes/run_until.h"
 #include "fault_injection/process_check.h"
+#include "temporary_folder.h"
 
 namespace zinclead::testing {
 namespace {
@@ -21,17 +20,12 @@
 using fault_injection::Outcome;
 
 // Controllers whose program is a shell script.
-class ControllerScripts : public ::testing::Test {
+class ControllerScripts : protected TemporaryFolder, public ::testing::Test {
  protected:
-  ControllerScripts() {
-    if (mkdtemp(folder_.data()) == nullptr) throw std::runtime_error("cannot make a folder");
-  }
-  ~ControllerScripts() override { std::filesystem::remove_all(folder_); }
-
   // Options of one controller that runs `script`.
   [[nodiscard]] fault_injection::ControllerOptions Run(const std::string& script) const {
     fault_injection::ControllerOptions options;
-    options.program = folder_ + "/controller";
+    options.program = path() + "/controller";
     options.count = 1;
     std::ofstream(options.program) << "#!/bin/sh\n" << script << "\n";
     std::filesystem::permissions(options.program, std::filesystem::perms::owner_all);
@@ -46,7 +40,6 @@
     });
   }
 
-  std::string folder_ = (std::filesystem::temp_directory_path() / "zinclead-test-XXXXXX").string();
   net::EventLoop loop_;
 };
 
--- a/tests/e2e_test.cc
+++ b/tests/e2e_test.cc
@@ -21,9 +21,7 @@
   const int follower = (LeaderIndex() + 1) % 3;
 
   // Every controller accepts requests, and responds to invalid ones with an error status.
-  for (int i = 0; i < 3; ++i) {
-    ASSERT_TRUE(RunLoopUntil([&] { return Send(i, "GET", "/healthz").status == 200; }));
-  }
+  ASSERT_NO_FATAL_FAILURE(WaitUntilAllAreHealthy());
   EXPECT_EQ(Send(follower, "GET", "/nowhere").status, 404);
   EXPECT_EQ(Send(follower, "GET", "/submissions").status, 405);
   EXPECT_EQ(Send(follower, "POST", "/submissions", "{").status, 400);
--- a/tests/impatient_clients_test.cc
+++ b/tests/impatient_clients_test.cc
@@ -5,17 +5,15 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
-#include <iterator>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "open_descriptors.h"
 #include "raw_connection.h"
+#include "temporary_folder.h"
 #include "three_controllers.h"
 
 namespace zinclead::testing {
@@ -40,11 +38,6 @@
   return heartbeat;
 }
 
-size_t OpenDescriptors(pid_t pid) {
-  const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(pid) + "/fd");
-  return static_cast<size_t>(std::distance(begin(descriptors), end(descriptors)));
-}
-
 size_t ResidentPages(pid_t pid) {
   std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
   size_t size = 0;
@@ -53,31 +46,13 @@
   return resident;
 }
 
-// A new folder for the logs of the controllers.
-std::string MakeLogFolder() {
-  std::string folder = (std::filesystem::temp_directory_path() / "zinclead-logs-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) throw std::runtime_error("cannot make a folder for logs");
-  return folder;
-}
-
-fault_injection::ControllerOptions OptionsWithLogs() {
-  fault_injection::ControllerOptions options = MakeControllerOptions();
-  options.log_dir = MakeLogFolder();
-  return options;
-}
-
-class ImpatientClients : public ThreeControllers {
+class ImpatientClients : protected TemporaryFolder, public ThreeControllers {
  protected:
-  ImpatientClients() : ImpatientClients(OptionsWithLogs()) {}
-  explicit ImpatientClients(const fault_injection::ControllerOptions& options)
-      : ThreeControllers(options), log_folder_(options.log_dir) {}
-  ~ImpatientClients() override { std::filesystem::remove_all(log_folder_); }
+  ImpatientClients() : ThreeControllers(OptionsWithLogs(path())) {}
 
   void SetUp() override {
     ThreeControllers::SetUp();
-    for (int node = 0; node < 3; ++node) {
-      ASSERT_TRUE(RunLoopUntil([&] { return Send(node, "GET", "/healthz").status == 200; }));
-    }
+    WaitUntilAllAreHealthy();
   }
   // Clients send `request` to a port and give up at different moments.
   void GiveUp(uint16_t port, const std::string& request, ConnectionEnd end) {
@@ -94,8 +69,7 @@
   }
   // Warnings and errors that a controller has logged.
   [[nodiscard]] std::vector<std::string> Complaints(size_t node) const {
-    std::ifstream log(log_folder_ + "/" + fault_injection::ControllerProcesses::NodeName(node) +
-                      ".log");
+    std::ifstream log(path() + "/" + fault_injection::ControllerProcesses::NodeName(node) + ".log");
     std::vector<std::string> complaints;
     for (std::string line; std::getline(log, line);) {
       const bool is_info = line.find(" info ") != std::string::npos;
@@ -123,9 +97,6 @@
       }
     }
   }
-
- private:
-  const std::string log_folder_;
 };
 
 // Users and workers that give up must neither end a controller nor fill its log.
--- a/tests/three_controllers.h
+++ b/tests/three_controllers.h
@@ -17,6 +17,7 @@
 #include "fault_injection/fakes/fake_store.h"
 #include "fault_injection/fakes/fake_worker.h"
 #include "fault_injection/fakes/run_until.h"
+#include "fault_injection/leader_lookup.h"
 #include "fixtures.h"
 #include "net/http_client.h"
 
@@ -28,6 +29,13 @@
   return options;
 }
 
+// The controllers log to files in `folder`.
+inline fault_injection::ControllerOptions OptionsWithLogs(const std::string& folder) {
+  fault_injection::ControllerOptions options = MakeControllerOptions();
+  options.log_dir = folder;
+  return options;
+}
+
 class ThreeControllers : public ::testing::Test {
  protected:
   using Peers = fault_injection::ControllerProcesses::Peers;
@@ -57,9 +65,8 @@
   void Kill(int i) { controllers_.Kill(static_cast<size_t>(i)); }
   // Index of the controller named in the leader key; -1: none.
   int LeaderIndex() {
-    const auto it = store_->entries().find("zinclead/leader");
-    if (it == store_->entries().end()) return -1;
-    return it->second.value["node"].get<std::string>()[1] - '0';
+    const auto leader = fault_injection::FindLeader(*store_, controllers_);
+    return leader ? static_cast<int>(*leader) : -1;
   }
 
   // Runs the loop until `is_done` returns true. Returns false after a time limit.
@@ -78,6 +85,11 @@
     RunLoopUntil([&] { return has_response; });
     return response;
   }
+  void WaitUntilAllAreHealthy() {
+    for (int node = 0; node < 3; ++node) {
+      ASSERT_TRUE(RunLoopUntil([&] { return Send(node, "GET", "/healthz").status == 200; }));
+    }
+  }
   // Repeats the request, like a user, while the response is missing, 429 or 503.
   net::Response SendUntilProcessed(int node, const char* method, const std::string& path,
                                    const std::string& body = "") {
