--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -12,9 +12,11 @@
 
 // Each returns the exit code of the case.
 int RunHistoryCase(const CaseOptions& options);
+int RunWaitingArrayCase(const CaseOptions& options);
 
-inline constexpr std::array<std::pair<std::string_view, int (*)(const CaseOptions&)>, 1> kCases{
-    {{"history", RunHistoryCase}}};
+inline constexpr std::array<std::pair<std::string_view, int (*)(const CaseOptions&)>, 2> kCases{
+    {{"history", RunHistoryCase},
+     {"waiting-array", RunWaitingArrayCase}}};
 
 }  // namespace zinclead::review
 
