--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -13,10 +13,12 @@
 // Each returns the exit code of the case.
 int RunHistoryCase(const CaseOptions& options);
 int RunWaitingArrayCase(const CaseOptions& options);
+int RunWaitingServiceCase(const CaseOptions& options);
 
-inline constexpr std::array<std::pair<std::string_view, int (*)(const CaseOptions&)>, 2> kCases{
+inline constexpr std::array<std::pair<std::string_view, int (*)(const CaseOptions&)>, 3> kCases{
     {{"history", RunHistoryCase},
-     {"waiting-array", RunWaitingArrayCase}}};
+     {"waiting-array", RunWaitingArrayCase},
+     {"waiting-service", RunWaitingServiceCase}}};
 
 }  // namespace zinclead::review
 
