--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -76,6 +76,7 @@
 }
 
 void Worker::Advance(const Attempt& attempt, Task* task) {
+  if (task->phase == Phase::kEnded) return;
   const double now = net::SteadyNow();
   const Json& job = world_->uploads.at(JobOf(attempt.first)).submission;
   const bool is_gang = job["shape"] == "group";
