--- a/review/standins/history_case.cc
+++ b/review/standins/history_case.cc
@@ -70,10 +70,13 @@
   net::EventLoop::Timer timer_;
 };
 
-DeploymentSpec SmallController() {
+DeploymentSpec SmallControllers() {
   DeploymentSpec spec = BridgeDeployment();
-  const std::string old_limit = "mem_mb = 56.0";
-  spec.platform.replace(spec.platform.find(old_limit), old_limit.size(), "mem_mb = 37.0");
+  const auto replace = [&spec](const std::string& setting, const std::string& smaller) {
+    spec.platform.replace(spec.platform.find(setting), setting.size(), smaller);
+  };
+  replace("core_share = 0.048", "core_share = 0.024");
+  replace("mem_mb = 56.0", "mem_mb = 37.0");
   return spec;
 }
 
@@ -107,7 +110,7 @@
 }  // namespace
 
 int RunHistoryCase(const CaseOptions& options) {
-  Deployment deployment(options, SmallController());
+  Deployment deployment(options, SmallControllers());
   Record* record = deployment.record();
   deployment.cloud()->SetCapacity("werkperd", "windhoek", false, 2);
   deployment.cloud()->SetCapacity("werkperd", "walvisbaai", false, 2);
